--- a/src/server_table.h
+++ b/src/server_table.h
@@ -41,8 +41,8 @@
 /** A server takes a request if its load stays below this multiple of the mean of its service, plus
  * the spare below. Reuse of cached prompts grows with it, and so does the wait behind others; the
  * users' bound is twice the mean and three. */
-constexpr double load_bound_multiple = 1.35;
-constexpr double load_bound_spare = 2;
+constexpr double load_bound_multiple = 1.7;
+constexpr double load_bound_spare = 2.5;
 /** A plain server in another data centre counts as this much of its slots busier than it is: calls
  * stay near unless the near ones are a quarter busier. */
 constexpr double distance_penalty = 0.25;
