A stopped router ends at once

Ruled out: work left over (0 requests at the end), the router's destructor (ends in 1 ms on this machine). Change: the process leaves without the join once its lines are written.

--- a/apps/worksshift_router.cpp
+++ b/apps/worksshift_router.cpp
@@ -1,6 +1,7 @@
 /** \file
  * The router daemon: reads its settings and runs one router on the platform's protocol.
  */
+#include <cstdlib>
 #include <iostream>
 
 #include "platform.h"
@@ -21,8 +22,16 @@
         }
         start_log(options.level, options.vm.text, log_stream::output);
         const protocol dialect = platform_protocol();
-        router process(options, dialect, [=] { return parse_router_settings(count, arguments); });
-        return process.run();
+        int status = 0;
+        {
+            router process(options, dialect,
+                           [=] { return parse_router_settings(count, arguments); });
+            status = process.run();
+        }
+        // The log library joins its threads when a process ends, which on the users' platform
+        // took until the process was killed. All lines are written by now.
+        std::cout.flush();
+        std::_Exit(status);
     } catch (const error& fault) {
         std::cerr << "worksshift-router: " << fault.step << ' ' << fault.peer << ": "
                   << fault.what() << '\n';
