A few VMs watch the registry at the store; the others follow them

Ruled out: longer waits only (a lost watch is then noticed later; calls at start and on each change stay). Change: the three VMs of the lowest incarnations that the store answers watch; digests tell the newest revision, and the others ask a peer for the changes behind theirs. Watches of the configuration wait longer in larger fleets. The router's registry part is a class of its own.

--- a/src/fleet_gossip.h
+++ b/src/fleet_gossip.h
@@ -43,6 +43,8 @@
     std::uint64_t sequence = 0;
     std::uint64_t config_version = 0;
     std::uint64_t servers_revision = 0; ///< of the newest change of the registry that it knows
+    bool watches_servers = false;       ///< follows the registry at the store, which answers it
+    std::uint32_t store_back_ms = 0;    ///< since the store came back to it; of watchers only
     bool leaving = false;
     std::vector<peer_load> loads;
     std::vector<std::uint32_t> vms; ///< IPv4 addresses of some VMs that the sender hears
@@ -51,7 +53,8 @@
     void serialize(Archive& archive)
     {
         archive(this->format, this->incarnation, this->sequence, this->config_version,
-                this->servers_revision, this->leaving, this->loads, this->vms);
+                this->servers_revision, this->watches_servers, this->store_back_ms, this->leaving,
+                this->loads, this->vms);
     }
 };
 
@@ -84,6 +87,8 @@
 
     /** VMs heard lately. */
     [[nodiscard]] std::vector<const peer*> heard(instant now) const;
+    /** Random for each start; VMs are ranked by it. */
+    [[nodiscard]] std::uint64_t own_incarnation() const { return this->incarnation; }
     [[nodiscard]] duration period() const;
     [[nodiscard]] link_address address_of(const peer& item) const;
 
--- a/src/object_watch.cpp
+++ b/src/object_watch.cpp
@@ -52,21 +52,32 @@
 
 void object_watch::watch()
 {
-    const milliseconds span = this->answering ? wait : probe_wait;
+    // Between three quarters and the whole, so that the VMs' calls do not end all at once.
+    const double part = 0.75 + 0.25 * std::uniform_real_distribution<>()(this->random);
+    const auto wait =
+        this->answering ? std::chrono::duration_cast<milliseconds>(this->span * part) : probe_wait;
     const duration timeout = this->answering ? wait + wait_grace : probe_timeout;
-    this->call(this->dialect.watch_path(this->kind, this->revision, span), timeout,
+    this->call(this->dialect.watch_path(this->kind, this->revision, wait), timeout,
                &object_watch::take_changes);
 }
 
-void object_watch::catch_up(std::uint64_t known, instant now)
+void object_watch::set_active(bool value)
 {
-    const bool waits = this->listed && this->answering && this->revision < known;
-    if (!waits || now - this->hurried < hurry_spacing) return;
-    this->hurried = now;
-    log_event(log_level::info, "watch_renewed",
-              {{"kind", name_of(this->kind)}, {"revision", this->revision}, {"known", known}});
+    if (this->active == value) return;
+    this->active = value;
+    log_event(log_level::info, value ? "watch_started" : "watch_stopped",
+              {{"kind", name_of(this->kind)}, {"revision", this->revision}});
+    ++this->calls;
     this->next.stop();
-    this->watch();
+    if (value) this->next.start_once(duration::zero());
+}
+
+void object_watch::advance(std::uint64_t known)
+{
+    if (known <= this->revision) return;
+    this->revision = known;
+    this->changed = known;
+    this->listed = true;
 }
 
 void object_watch::take_list(const http_response& response)
--- a/src/object_watch.h
+++ b/src/object_watch.h
@@ -22,9 +22,9 @@
 
 class object_watch {
 public:
-    /** Time a watch waits for a change. Longer ones cost fewer calls; after a cut, a watch whose
-     * answer was lost is noticed within this and the grace. */
-    static constexpr milliseconds wait = milliseconds(3000);
+    /** Time a watch waits for a change unless told otherwise. Longer ones cost fewer calls; after a
+     * cut, a watch whose answer was lost is noticed within this and the grace. */
+    static constexpr milliseconds default_wait = milliseconds(3000);
     static constexpr duration wait_grace = milliseconds(500);
     /** After a failure, calls do not wait for a change until one was answered: a store that is
      * silent must not hold the call that would notice its return. */
@@ -35,17 +35,18 @@
     static constexpr duration longest_pause = milliseconds(1200);
     /** Between an answer and the next watch, so that changes in quick succession share a call. */
     static constexpr duration gather = milliseconds(200);
-    /** Between calls that are repeated because another VM knows more. */
-    static constexpr duration hurry_spacing = milliseconds(1000);
 
     object_watch(event_base* base, http_caller& caller, const link_address& store,
                  const protocol& dialect, object_kind kind);
 
     void start() { this->list({}); }
 
-    /** Another VM knows of a change at \p known. If this one still waits for it, its call may have
-     * been lost without a sign, so the watch is asked for anew. */
-    void catch_up(std::uint64_t known, instant now);
+    /** Stops to ask, or goes on from where it is. */
+    void set_active(bool value);
+    /** What happened up to \p revision was learnt from elsewhere; the watch goes on behind it. */
+    void advance(std::uint64_t revision);
+    /** Time that a watch waits, with jitter. */
+    void set_wait(milliseconds span) { this->span = span; }
 
     /** All objects there are. */
     sigc::signal<void(const std::vector<stored_object>&)> on_list;
@@ -54,6 +55,8 @@
     sigc::signal<void(bool)> on_reachable;
 
     [[nodiscard]] bool reachable() const { return this->answering; }
+    /** Asks, and is answered. */
+    [[nodiscard]] bool follows() const { return this->active && this->listed && this->answering; }
     /** When the store last came back. */
     [[nodiscard]] instant regained_at() const { return this->regained; }
     /** Revision of the newest change that was received. */
@@ -79,7 +82,8 @@
     std::uint64_t revision = 0;
     std::uint64_t changed = 0;
     std::uint64_t calls = 0; ///< number of the call whose answer is awaited
-    instant hurried{};
+    milliseconds span = default_wait;
+    bool active = true;
     bool listed = false;
     bool answering = false;
     instant regained{};
--- /dev/null
+++ b/src/registry_feed.cpp
@@ -0,0 +1,101 @@
+#include "registry_feed.h"
+
+#include <algorithm>
+#include <sstream>
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include "errors.h"
+
+namespace worksshift {
+
+template <class Archive>
+void serialize(Archive& archive, stored_object& item)
+{
+    archive(item.name, item.revision, item.document, item.removed);
+}
+
+template <class Archive>
+void serialize(Archive& archive, registry_update& update)
+{
+    archive(update.revision, update.whole, update.objects);
+}
+
+std::string encode(const registry_update& update)
+{
+    std::ostringstream stream;
+    {
+        cereal::PortableBinaryOutputArchive archive(stream);
+        archive(update);
+    }
+    return stream.str();
+}
+
+registry_update decode_registry_update(const std::string& bytes, const std::string& peer)
+{
+    try {
+        std::istringstream stream(bytes);
+        cereal::PortableBinaryInputArchive archive(stream);
+        registry_update update;
+        archive(update);
+        return update;
+    } catch (const std::exception& fault) {
+        throw peer_error("registry update", peer, fault.what());
+    }
+}
+
+void registry_feed::take_list(std::span<const stored_object> all, std::uint64_t revision)
+{
+    this->entries.clear();
+    for (const stored_object& item : all)
+        this->entries[item.name] = item;
+    this->changes.clear();
+    this->floor = revision;
+    this->newest = revision;
+}
+
+void registry_feed::take_change(const stored_object& item, std::uint64_t revision)
+{
+    if (item.removed) {
+        this->entries.erase(item.name);
+    } else {
+        this->entries[item.name] = item;
+    }
+    this->newest = std::max(this->newest, revision);
+    this->changes.push_back({revision, item});
+    if (this->changes.size() > changes_kept) {
+        this->floor = this->changes.front().revision;
+        this->changes.pop_front();
+    }
+}
+
+void registry_feed::take(const registry_update& update)
+{
+    if (update.whole) {
+        this->take_list(update.objects, update.revision);
+        return;
+    }
+    for (const stored_object& item : update.objects)
+        this->take_change(item, update.revision);
+    this->newest = std::max(this->newest, update.revision);
+}
+
+registry_update registry_feed::since(std::uint64_t revision) const
+{
+    registry_update update;
+    update.revision = this->newest;
+    update.whole = revision < this->floor;
+    if (update.whole) {
+        for (const auto& [name, item] : this->entries)
+            update.objects.push_back(item);
+        return update;
+    }
+    for (const change& item : this->changes) {
+        if (item.revision > revision) update.objects.push_back(item.object);
+    }
+    return update;
+}
+
+} // namespace worksshift
--- /dev/null
+++ b/src/registry_follower.h
@@ -0,0 +1,69 @@
+/** \file
+ * Keeps this VM's view of the servers up to date: at the store, or behind the VMs that are.
+ *
+ * A few VMs of the fleet watch the registry at the store; the others ask them for changes when a
+ * digest tells of one. A VM watches by itself unless enough others do, so one that hears nobody,
+ * or only VMs that the store refuses, is never without a source.
+ */
+#pragma once
+
+#include "fleet_gossip.h"
+#include "http_call.h"
+#include "object_watch.h"
+#include "registry_feed.h"
+#include "server_registry.h"
+
+namespace worksshift {
+
+class registry_follower {
+public:
+    /** VMs that watch at the store. Three, so that the loss of two changes nothing. */
+    static constexpr std::size_t watchers_wanted = 3;
+    /** A watcher that was not heard for this many digest periods, and at least for the shortest
+     * time, does not count. */
+    static constexpr int watcher_periods = 4;
+    static constexpr duration watcher_heard_within = milliseconds(700);
+    /** Others must watch for so long before this VM stops to: they may be as new as it is. */
+    static constexpr duration watched_enough_for = seconds(2);
+    /** A watcher learns of a change from the store; it asks another VM only when it does not. */
+    static constexpr duration store_tells_within = milliseconds(600);
+    static constexpr duration peer_call_timeout = milliseconds(800);
+
+    registry_follower(event_base* base, http_caller& caller, const link_address& store,
+                      const protocol& dialect, server_table& table, fleet_gossip& gossip);
+
+    void start() { this->watch.start(); }
+    void tick(instant now);
+    /** Fills in what this VM tells others of the registry. */
+    void describe(fleet_digest& digest, instant now) const;
+    /** Answers another VM that asks for changes. */
+    void serve(evhttp_request* request) const;
+
+    [[nodiscard]] bool known() const { return this->registry.known(); }
+    [[nodiscard]] bool store_reachable() const { return this->watch.reachable(); }
+    [[nodiscard]] bool watching() const { return this->watch.follows(); }
+
+    /** The server takes no new work any more. */
+    sigc::signal<void(const server_id&)> on_leaving;
+
+private:
+    void choose_source(instant now);
+    void ask_peer(instant now);
+    void take(const http_response& response, const std::string& peer);
+    void apply(const registry_update& update);
+    [[nodiscard]] instant store_regained_at(instant now) const;
+
+    http_caller& caller;
+    fleet_gossip& gossip;
+    server_registry registry;
+    object_watch watch;
+    registry_feed feed;
+    bool asking = false;
+    instant behind_since{};  ///< another VM knows a newer change; the epoch: none does
+    instant watched_since{}; ///< enough others watch; the epoch: they do not
+};
+
+/** Where other VMs ask. */
+constexpr const char* registry_path = "/registry";
+
+} // namespace worksshift
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -20,8 +20,10 @@
 constexpr duration stop_quiet = milliseconds(300);
 /** Left of the grace when what still runs is cut off. */
 constexpr duration stop_margin = milliseconds(400);
-/** Other VMs hear of a change within a digest; one that did not learn it by then asks again. */
-constexpr duration registry_news_within = milliseconds(600);
+/** Other VMs tell of a new configuration, so a watch of it may wait longer the more there are: in
+ * the mean one of them ends within this time. */
+constexpr milliseconds config_wait_per_vm = milliseconds(400);
+constexpr milliseconds longest_config_wait = seconds(20);
 /** The store tells of a new configuration by itself; another VM is asked only when it does not. */
 constexpr duration config_from_store_within = milliseconds(500);
 constexpr duration peer_call_timeout = milliseconds(800);
@@ -79,12 +81,12 @@
 
 router::router(router_settings given, const protocol& dialect, settings_source reload)
     : options(std::move(given)), dialect(dialect), reload(std::move(reload)),
-      base(make_event_base()), servers(options.data_centre), registry(servers, dialect),
+      base(make_event_base()), servers(options.data_centre),
       callers(base.get(), options.front, dialect), links(base.get(), dialect),
       path(callers, links, servers, dialect, numbers),
       gossip(base.get(), options.peer, options.seeds), caller(base.get()),
       config_watch(base.get(), caller, options.store, dialect, object_kind::configuration),
-      server_watch(base.get(), caller, options.store, dialect, object_kind::servers),
+      registry(base.get(), caller, options.store, dialect, servers, gossip),
       ticker(base.get(), [this] { this->tick(); }),
       on_term(base.get(), SIGTERM, [this] { this->stop(); }),
       on_int(base.get(), SIGINT, [this] { this->stop(); }),
@@ -111,7 +113,7 @@
                {"front_port", this->options.front.port},
                {"seeds", this->options.seeds.size()}});
     this->config_watch.start();
-    this->server_watch.start();
+    this->registry.start();
     this->ticker.start_every(tick_period);
     event_base_dispatch(this->base.get());
     log_event(log_level::info, "stopped", {{"exit", this->exit_status}});
@@ -125,10 +127,8 @@
     this->callers.sweep(time);
     this->links.sweep(time);
     this->path.tick(time);
-    this->registry.sweep(time, this->server_watch.regained_at());
-    if (time - this->registry_news_since > registry_news_within) {
-        this->server_watch.catch_up(this->newest_registry, time);
-    }
+    this->registry.tick(time);
+    this->spread_config_watch(time);
     this->servers.sweep();
     this->sum_peer_loads(time);
     this->fetch_config(time);
@@ -146,10 +146,6 @@
     this->config_watch.on_change.connect([this](const stored_object& item) {
         if (!item.removed) this->take_config_document(item.document, "store");
     });
-    this->server_watch.on_list.connect(
-        [this](const std::vector<stored_object>& all) { this->registry.take_list(all, now()); });
-    this->server_watch.on_change.connect(
-        [this](const stored_object& item) { this->registry.take_change(item, now()); });
     this->registry.on_leaving.connect([this](const server_id& id) { this->links.forget(id); });
 }
 
@@ -179,10 +175,6 @@
 void router::take_digest(const fleet_gossip::peer& from)
 {
     this->loads_changed = true;
-    if (from.last.servers_revision > this->newest_registry) {
-        this->newest_registry = from.last.servers_revision;
-        this->registry_news_since = now();
-    }
     const std::uint64_t own = this->config == nullptr ? 0 : this->config->version;
     if (from.last.config_version <= std::max(own, this->newest_heard)) return;
     if (this->newest_heard <= own) this->newer_since = now();
@@ -211,7 +203,7 @@
 void router::describe_self(fleet_digest& digest) const
 {
     digest.config_version = this->config == nullptr ? 0 : this->config->version;
-    digest.servers_revision = this->server_watch.changed_revision();
+    this->registry.describe(digest, now());
     digest.leaving = this->stopping;
     for (const auto& [id, row] : this->servers.rows()) {
         if (row.in_flight == 0) continue;
@@ -244,6 +236,14 @@
                       });
 }
 
+/** The more VMs there are that tell of a new configuration, the longer a watch of it may wait. */
+void router::spread_config_watch(instant time)
+{
+    const auto vms = static_cast<int>(this->gossip.heard(time).size() + 1);
+    this->config_watch.set_wait(
+        std::clamp(config_wait_per_vm * vms, object_watch::default_wait, longest_config_wait));
+}
+
 void router::serve_peers()
 {
     this->peer_http = listen_http(this->base.get(), this->options.peer, "other VMs");
@@ -255,6 +255,12 @@
             reply(request, have ? ok : unavailable, have ? config->document : std::string_view());
         },
         this);
+    evhttp_set_cb(
+        this->peer_http.get(), registry_path,
+        [](evhttp_request* request, void* self) {
+            static_cast<router*>(self)->registry.serve(request);
+        },
+        this);
 }
 
 void router::serve_readiness()
@@ -292,7 +298,8 @@
     text << "worksshift_server_connections_opened_total " << this->links.opened() << '\n';
     text << "worksshift_config_version " << (this->config == nullptr ? 0 : this->config->version)
          << '\n';
-    text << "worksshift_store_reachable " << (this->server_watch.reachable() ? 1 : 0) << '\n';
+    text << "worksshift_registry_watched " << (this->registry.watching() ? 1 : 0) << '\n';
+    text << "worksshift_store_reachable " << (this->registry.store_reachable() ? 1 : 0) << '\n';
     text << "worksshift_vms_heard " << this->gossip.heard(now()).size() << '\n';
     return text.str();
 }
--- a/src/router.h
+++ b/src/router.h
@@ -12,10 +12,10 @@
 #include "fleet_gossip.h"
 #include "metrics.h"
 #include "object_watch.h"
+#include "registry_follower.h"
 #include "request_path.h"
 #include "router_settings.h"
 #include "server_links.h"
-#include "server_registry.h"
 #include "server_table.h"
 
 namespace worksshift {
@@ -43,6 +43,7 @@
     void sum_peer_loads(instant now);
     void describe_self(fleet_digest& digest) const;
     void fetch_config(instant now);
+    void spread_config_watch(instant now);
     void serve_peers();
     void serve_readiness();
     void serve_metrics();
@@ -59,14 +60,13 @@
     event_ptr<event_base> base;
     metrics numbers;
     server_table servers;
-    server_registry registry;
     caller_links callers;
     server_links links;
     request_path path;
     fleet_gossip gossip;
     http_caller caller;
     object_watch config_watch;
-    object_watch server_watch;
+    registry_follower registry;
     event_ptr<evhttp> peer_http;
     event_ptr<evhttp> readiness_http;
     event_ptr<evhttp> metrics_http;
