--- a/apps/worksshift_router.cpp
+++ b/apps/worksshift_router.cpp
@@ -20,7 +20,7 @@
             std::cout << "settings are valid\n";
             return 0;
         }
-        start_log(options.level, options.vm.text, log_stream::output);
+        start_bounded_log(options.level, options.vm.text, {options.log_lines_per_s});
         const protocol dialect = platform_protocol();
         int status = 0;
         {
@@ -30,7 +30,7 @@
         }
         // The log library joins its threads when a process ends, which on the users' platform
         // took until the process was killed. All lines are written by now.
-        std::cout.flush();
+        flush_log();
         std::_Exit(status);
     } catch (const error& fault) {
         std::cerr << "worksshift-router: " << fault.step << ' ' << fault.peer << ": "
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -2,13 +2,21 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
+#include <climits>
 #include <memory>
+#include <sstream>
+#include <utility>
+
+#include <poll.h>
+#include <unistd.h>
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
 
 #include "errors.h"
 
@@ -42,6 +50,105 @@
     return instance;
 }
 
+/** Keeps lines until they can be written without blocking, within bounds. */
+class bounded_appender : public log4cplus::Appender {
+public:
+    explicit bounded_appender(const log_bounds& bounds) : bounds(bounds) {}
+    ~bounded_appender() override { this->destructorImpl(); }
+    bounded_appender(const bounded_appender&) = delete;
+    bounded_appender& operator=(const bounded_appender&) = delete;
+    bounded_appender(bounded_appender&&) = delete;
+    bounded_appender& operator=(bounded_appender&&) = delete;
+
+    void close() override {}
+
+    void flush()
+    {
+        this->report_left_out();
+        const std::string_view all = this->waiting;
+        std::size_t written = 0;
+        while (written < all.size() && writable()) {
+            // A pipe that polls as writable takes this much without blocking.
+            const std::string_view part = all.substr(written, PIPE_BUF);
+            const ssize_t count = ::write(STDOUT_FILENO, part.data(), part.size());
+            if (count <= 0) break;
+            written += static_cast<std::size_t>(count);
+        }
+        this->waiting.erase(0, written);
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override
+    {
+        const bool bounded = event.getLogLevel() <= log4cplus::INFO_LOG_LEVEL;
+        if (bounded && !this->take_line()) return;
+        std::ostringstream line;
+        this->layout->formatAndAppend(line, event);
+        this->add(line.str());
+    }
+
+private:
+    static bool writable()
+    {
+        pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+        return ::poll(&output, 1, 0) > 0 && (output.revents & POLLOUT) != 0;
+    }
+
+    void add(const std::string& line)
+    {
+        if (this->waiting.size() + line.size() > this->bounds.waiting_bytes) {
+            ++this->left_out;
+        } else {
+            this->waiting += line;
+        }
+    }
+
+    bool take_line()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (now - this->second > std::chrono::seconds(1)) {
+            this->second = now;
+            this->lines = 0;
+        }
+        if (this->lines >= this->bounds.lines_per_s) {
+            ++this->left_out;
+            return false;
+        }
+        ++this->lines;
+        return true;
+    }
+
+    void report_left_out()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (this->left_out == 0 || now - this->reported < std::chrono::seconds(1)) return;
+        if (this->waiting.size() * 2 > this->bounds.waiting_bytes) return;
+        this->reported = now;
+        const std::size_t count = std::exchange(this->left_out, 0);
+        log_event(log_level::warn, "log_lines_left_out", {{"count", count}});
+    }
+
+    log_bounds bounds;
+    std::string waiting;
+    std::size_t left_out = 0;
+    std::size_t lines = 0; ///< of this second
+    std::chrono::steady_clock::time_point second;
+    std::chrono::steady_clock::time_point reported;
+};
+
+/** Owned by the logger that it was added to. */
+bounded_appender* bounded_output = nullptr;
+
+void add_appender(log_level level, std::string_view vm, log4cplus::SharedAppenderPtr appender)
+{
+    static log4cplus::Initializer initializer;
+    const std::string pattern =
+        "time=%D{%Y-%m-%dT%H:%M:%S.%q} level=%p vm=" + std::string(vm) + " %m%n";
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
+    logger().addAppender(std::move(appender));
+    logger().setLogLevel(native_level(level));
+}
+
 bool needs_quotes(char character)
 {
     return character <= ' ' || character == '"' || character == '=' || character == '\\' ||
@@ -50,16 +157,21 @@
 
 } // namespace
 
-void start_log(log_level level, std::string_view vm, log_stream to)
+void start_log(log_level level, std::string_view vm)
 {
-    static log4cplus::Initializer initializer;
-    log4cplus::helpers::SharedObjectPtr<log4cplus::Appender> appender(
-        new log4cplus::ConsoleAppender(to == log_stream::error, true));
-    const std::string pattern =
-        "time=%D{%Y-%m-%dT%H:%M:%S.%q} level=%p vm=" + std::string(vm) + " %m%n";
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
-    logger().addAppender(appender);
-    logger().setLogLevel(native_level(level));
+    add_appender(level, vm,
+                 log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true)));
+}
+
+void start_bounded_log(log_level level, std::string_view vm, const log_bounds& bounds)
+{
+    bounded_output = new bounded_appender(bounds);
+    add_appender(level, vm, log4cplus::SharedAppenderPtr(bounded_output));
+}
+
+void flush_log()
+{
+    if (bounded_output != nullptr) bounded_output->flush();
 }
 
 void set_log_level(log_level level)
--- a/src/log.h
+++ b/src/log.h
@@ -26,12 +26,25 @@
     std::string value;
 };
 
-enum class log_stream { error, output };
-
-/** Starts logging at \p level. Call once, before the first event. */
-void start_log(log_level level, std::string_view vm, log_stream to = log_stream::error);
+/** Starts logging to standard error at \p level. Call once, before the first event. */
+void start_log(log_level level, std::string_view vm);
 void set_log_level(log_level level);
 
+/** Bounds of a log that must never hold up its process. */
+struct log_bounds {
+    /** Lines a second at level info and below. A quarter core serves about 200 requests a second,
+     * and a request has one line and one more for each attempt that failed. */
+    std::size_t lines_per_s = 500;
+    /** Bytes that wait for a reader of the output; a few seconds of the lines above. */
+    std::size_t waiting_bytes = std::size_t{1024} * 1024;
+};
+
+/** Starts logging to standard output. Lines wait in memory until `flush_log` finds that they can be
+ * written without blocking; what is over the bounds is left out, and counted in a line. */
+void start_bounded_log(log_level level, std::string_view vm, const log_bounds& bounds);
+/** Writes waiting lines as far as the output takes them at once. */
+void flush_log();
+
 /** Parses a level's name. \throws user_error if there is no such level. */
 log_level parse_log_level(std::string_view name);
 
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -69,15 +69,16 @@
     std::uint64_t attempt = 0;
     server_entry* row = nullptr; ///< of the attempt
     placed where;
-    instant last_byte{}; ///< of the attempt, or when it was sent
+    duration loads_age{}; ///< of the other VMs' loads when the server was chosen
+    instant last_byte{};  ///< of the attempt, or when it was sent
 
     http_head answer;
     bool answered = false; ///< the attempt's head has come
     bool refused = false;  ///< the attempt's answer states that it did not run
     bool streaming = false;
     bool unusable = false; ///< the answer cannot go on behind what the caller has
-    bool begun = false; ///< the caller has the head
-    bool gone = false;  ///< the caller left; the attempt runs out
+    bool begun = false;    ///< the caller has the head
+    bool gone = false;     ///< the caller left; the attempt runs out
     bool ended = false;
     std::string held;
     event_stream events;
@@ -182,11 +183,12 @@
     item.attempt = (item.id << attempt_bits) | item.sends;
     item.row = &row;
     item.where = where;
+    item.loads_age = time - this->table.peers_summed_at;
     item.last_byte = time;
     item.answered = false;
     item.refused = false;
     item.tried.push_back(row.record.id);
-    ++row.in_flight;
+    if (row.in_flight++ == 0) row.waited_from = time;
     row.health.on_sent(time);
     forward_facts facts;
     facts.expected_server = row.record.id.text;
@@ -223,6 +225,7 @@
     if (item == nullptr) return;
     item->answered = true;
     item->last_byte = now();
+    item->row->heard_at = item->last_byte;
     item->refused = facts.not_executed || head.status == misdirected;
     const std::string* type = head.find("content-type");
     item->streaming = item->way->kind == route_kind::event_stream && head.status == ok &&
@@ -238,8 +241,10 @@
 void request_path::take_body(std::uint64_t attempt, std::string_view bytes)
 {
     live* item = this->find_attempt(attempt);
-    if (item == nullptr || item->gone) return;
+    if (item == nullptr) return;
     item->last_byte = now();
+    item->row->heard_at = item->last_byte;
+    if (item->gone) return;
     if (!item->streaming) {
         if (item->begun) {
             if (!item->unusable) this->callers.add(item->id, bytes);
@@ -290,8 +295,8 @@
         return;
     }
     ++item.runs;
-    const bool whole = end.result == send_result::answered && !item.unusable &&
-                       !item.events.inside_event();
+    const bool whole =
+        end.result == send_result::answered && !item.unusable && !item.events.inside_event();
     if (!whole) {
         row.health.on_failure(time);
         this->retry_or_fail(item, true, end.step, end.detail);
@@ -505,7 +510,8 @@
                {"detail", detail},
                {"server", item.tried.empty() ? std::string() : item.tried.back().text},
                {"send", item.sends},
-               {"runs", item.runs}});
+               {"runs", item.runs},
+               {"left_ms", in_ms(item.deadline - now())}});
 }
 
 } // namespace worksshift
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -135,6 +135,7 @@
     this->gossip.tick(time, [this](fleet_digest& digest) { this->describe_self(digest); });
     this->check_settings_file(time);
     if (this->stopping) this->continue_stop(time);
+    flush_log();
 }
 
 void router::follow_store()
@@ -194,6 +195,7 @@
         for (const peer_load& load : item->last.loads)
             sums[load.server] += load.requests;
     }
+    this->servers.peers_summed_at = time;
     for (auto& [id, row] : this->servers.rows()) {
         const auto found = sums.find(short_hash(row));
         row.peers_in_flight = found == sums.end() ? 0 : found->second;
--- a/src/router_settings.cpp
+++ b/src/router_settings.cpp
@@ -35,6 +35,7 @@
     add("store", text(), "ADDRESS:PORT of the platform's store");
     add("seeds", with(""), "addresses of some VMs, comma-separated; ports are not used");
     add("log-level", with("info"), "trace, debug, info, warn, error or off");
+    add("log-lines-per-s", with("500"), "lines of level info in a second, 10 to 100000");
     add("stop-grace-s", with("8"), "seconds from SIGTERM until the process is killed, 1 to 3600");
     add("retry-ratio", with("0.2"), "repeats for each request to a service, 0 to 1");
     add("retry-window-s", with("10"), "seconds over which repeats are counted, 1 to 3600");
@@ -108,6 +109,8 @@
 constexpr double largest_port = 65535;
 constexpr double longest_span_s = 3600;
 constexpr double largest_slack = 1e6;
+constexpr double fewest_lines = 10;
+constexpr double most_lines = 100000;
 
 router_settings read(const options::variables_map& values)
 {
@@ -127,6 +130,8 @@
     result.store = given.address("store");
     result.seeds = given.addresses("seeds");
     result.level = parse_log_level(given.text("log-level"));
+    result.log_lines_per_s =
+        static_cast<std::size_t>(given.number("log-lines-per-s", fewest_lines, most_lines));
     result.stop_grace = to_duration(given.number("stop-grace-s", 1, longest_span_s));
     result.retries.ratio = given.number("retry-ratio", 0, 1);
     result.retries.window = to_duration(given.number("retry-window-s", 1, longest_span_s));
--- a/src/router_settings.h
+++ b/src/router_settings.h
@@ -24,6 +24,7 @@
     link_address store;              ///< HTTP of the platform's store
     std::vector<link_address> seeds; ///< VMs to begin with; only their addresses are used
     log_level level = log_level::info;
+    std::size_t log_lines_per_s = log_bounds{}.lines_per_s;
     duration stop_grace = seconds(8); ///< from SIGTERM to the end
     fleet_retry_settings retries;
     std::string file; ///< empty: none
--- a/src/server_links.cpp
+++ b/src/server_links.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/** The shortest that the system takes; a silent peer is noticed after about two seconds. */
+constexpr int keepalive_s = 1;
+constexpr int keepalive_probes = 1;
 constexpr std::size_t answer_head_at_most = 32 * 1024;
 
 instant now()
@@ -32,6 +35,12 @@
     const auto span = std::chrono::duration_cast<milliseconds>(unacknowledged_timeout).count();
     const auto value = static_cast<unsigned>(span);
     setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof value);
+    // A server that has all of a request and is out of reach shows only by unanswered probes.
+    const int on = 1;
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &keepalive_s, sizeof keepalive_s);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &keepalive_s, sizeof keepalive_s);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &keepalive_probes, sizeof keepalive_probes);
 }
 
 } // namespace
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -60,8 +60,9 @@
                std::ranges::find(wanted.tried, row->record.id) == wanted.tried.end();
     });
     row_list healthy;
-    std::ranges::copy_if(open, std::back_inserter(healthy),
-                         [now](const server_entry* row) { return row->health.usable(now); });
+    std::ranges::copy_if(open, std::back_inserter(healthy), [now](const server_entry* row) {
+        return row->health.usable(now) && !row->quiet(now);
+    });
     // When most seem to fail, the fault is elsewhere, and leaving them alone would serve nobody.
     return healthy.size() * 2 >= open.size() && !healthy.empty() ? healthy : open;
 }
@@ -72,6 +73,7 @@
     if (rows.empty()) return {};
     placed result = wanted.engine ? this->choose_engine(wanted, rows) : this->choose_plain(rows);
     result.candidates = rows.size();
+    result.load = result.row->load();
     if (wanted.engine && wanted.affinity != 0) {
         result.cached_at = this->find_cached(wanted, *result.row, now);
     }
@@ -96,7 +98,11 @@
     if (key == 0 || chosen == rows.end()) {
         chosen = std::ranges::min_element(rows, {}, &server_entry::load);
     }
-    return {*chosen, static_cast<std::size_t>(chosen - rows.begin()), 0, mean};
+    placed result;
+    result.row = *chosen;
+    result.rank = static_cast<std::size_t>(chosen - rows.begin());
+    result.mean_load = mean;
+    return result;
 }
 
 /** The first in rank beside the chosen server. It had the requests of this rank before the chosen
@@ -112,7 +118,8 @@
     const server_entry* best = nullptr;
     std::uint64_t best_weight = 0;
     for (const server_entry* row : group->second) {
-        const bool sound = !row->gone && !row->replaced && row->health.usable(now);
+        const bool sound =
+            !row->gone && !row->replaced && row->health.usable(now) && !row->quiet(now);
         if (row == &chosen || !sound) continue;
         const std::uint64_t weight = rendezvous_weight(wanted.affinity, row->hash);
         if (best != nullptr && weight <= best_weight) continue;
@@ -130,7 +137,9 @@
         const double busy = (row->load() + 1.0) / std::max<std::uint32_t>(row->record.slots, 1);
         return busy + (row->record.data_centre == this->here ? 0 : distance_penalty);
     });
-    return {*chosen, 0, 0, 0};
+    placed result;
+    result.row = *chosen;
+    return result;
 }
 
 std::uint64_t affinity_of(std::span<const prompt_part> prompt)
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -30,6 +30,21 @@
     bool gone = false;     ///< not in the registry any more; kept until idle
     bool replaced = false; ///< another server answered at its address
 
+    instant heard_at{};    ///< a byte of an answer came
+    instant waited_from{}; ///< attempts are under way without a pause since
+
+    /** Nothing came for so long although attempts are under way: the server may be out of reach,
+     * which its connections do not show. Requests go elsewhere until it sends something. Engines
+     * send every few tens of ms. With a third of the engines silent twice for 4 s, requests that
+     * were late in those seconds fell from 160 to 100, and none ran into its deadline (34 before).
+     */
+    static constexpr duration quiet_after = milliseconds(450);
+
+    [[nodiscard]] bool quiet(instant now) const
+    {
+        return this->in_flight > 0 &&
+               now - std::max(this->heard_at, this->waited_from) > quiet_after;
+    }
     [[nodiscard]] std::uint32_t load() const { return this->in_flight + this->peers_in_flight; }
     [[nodiscard]] bool over() const { return this->gone && this->in_flight == 0; }
     [[nodiscard]] bool takes_work() const
@@ -59,6 +74,7 @@
     server_entry* row = nullptr; ///< nullptr: no server of the service takes work
     std::size_t rank = 0;        ///< 0: the first choice
     std::size_t candidates = 0;
+    std::uint32_t load = 0; ///< of the chosen one, before this request
     double mean_load = 0;
     /** Likely holds the shared part of the prompt when the chosen one does not; nullptr: none. */
     const server_entry* cached_at = nullptr;
@@ -79,6 +95,9 @@
     /** Frees rows that are gone and idle. */
     void sweep();
 
+    /** When the loads of the other VMs were last added up. */
+    instant peers_summed_at{};
+
     [[nodiscard]] std::map<server_id, server_entry>& rows() { return this->table; }
     [[nodiscard]] const std::map<server_id, server_entry>& rows() const { return this->table; }
 
--- a/test/error/servers_that_answer_badly.cpp
+++ b/test/error/servers_that_answer_badly.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(own_failure_passes_unchanged);
     CPPUNIT_TEST(nobody_listens);
     CPPUNIT_TEST(silent_server_is_left);
+    CPPUNIT_TEST(quiet_server_gets_no_more);
     CPPUNIT_TEST(timeout_is_answered);
     CPPUNIT_TEST_SUITE_END();
 
@@ -284,6 +285,25 @@
         CPPUNIT_ASSERT(this->rig->run_until([&] { return a.closed + b.closed == 1; }));
     }
 
+    void quiet_server_gets_no_more()
+    {
+        const auto silent = [](const std::string&) -> scripted_answer {
+            return {"", then::stay_silent};
+        };
+        scripted_server& a = this->rig->add_server("a", "desk", silent);
+        raw_caller& waiting = this->rig->add_caller();
+        waiting.send(request_text("POST", "/unsafe/x", "1", "{}"));
+        CPPUNIT_ASSERT(this->rig->run_until([&] { return a.requests.size() == 1; }));
+        scripted_server& b = this->rig->add_server("b", "desk", good);
+        this->rig->run_for(server_entry::quiet_after + milliseconds(50));
+        for (const std::string id : {"2", "3", "4", "5", "6", "7", "8"}) {
+            const std::string answer = this->ask(request_text("POST", "/unsafe/x", id, "{}"));
+            CPPUNIT_ASSERT_EQUAL(200, status_of(answer));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, a.requests.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{7}, b.requests.size());
+    }
+
     void timeout_is_answered()
     {
         scripted_server& server =
