--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -112,6 +112,10 @@
 {
     this->config = std::move(given);
     this->callers.set_limits(this->config->limits);
+    for (const std::uint64_t id : std::exchange(this->too_early, {})) {
+        const auto found = this->requests.find(id);
+        if (found != this->requests.end() && !found->second->ended) this->begin(*found->second);
+    }
 }
 
 void request_path::take(caller_request request)
@@ -124,18 +128,24 @@
     item.facts = this->dialect.decode_request(request.head);
     item.head = std::move(request.head);
     item.body = std::move(request.body);
-    item.config = this->config;
     this->requests.emplace(item.id, std::move(made));
+    if (this->config == nullptr) {
+        item.deadline = item.arrived + first_config_within;
+        this->too_early.push_back(item.id);
+    } else {
+        this->begin(item);
+    }
+}
+
+void request_path::begin(live& item)
+{
+    item.config = this->config;
     if (this->admit(item)) this->dispatch(item);
 }
 
 /** Finds route, account and deadline. Answers the caller itself when there is none. */
 bool request_path::admit(live& item)
 {
-    if (item.config == nullptr) {
-        this->answer_own(item, unavailable, "no configuration yet", starting_retry_after);
-        return false;
-    }
     const std::string* host = item.head.find("host");
     item.way = host == nullptr ? nullptr : item.config->find(*host, item.head.target);
     if (item.way == nullptr) {
@@ -434,7 +444,7 @@
     if (found == this->requests.end() || found->second->ended) return;
     live& item = *found->second;
     item.gone = true;
-    if (item.way->kind == route_kind::non_idempotent) return;
+    if (item.way != nullptr && item.way->kind == route_kind::non_idempotent) return;
     if (item.row != nullptr) {
         item.row->health.on_neutral();
         this->servers.cancel(item.attempt);
@@ -466,6 +476,10 @@
 
 void request_path::expire(live& item)
 {
+    if (item.config == nullptr) {
+        this->answer_own(item, unavailable, "no configuration yet", starting_retry_after);
+        return;
+    }
     if (item.row != nullptr) {
         ++item.runs;
         item.row->health.on_failure(now());
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -38,6 +38,9 @@
 constexpr duration refusal_retry_after = milliseconds(400);
 /** Named to callers while this VM has no configuration yet. */
 constexpr duration starting_retry_after = milliseconds(500);
+/** Requests that come before the first configuration wait for it so long. It takes 45 ms from the
+ * start; refused, their callers would come back half a second later. */
+constexpr duration first_config_within = milliseconds(300);
 
 class request_path {
 public:
@@ -63,6 +66,7 @@
     struct live;
 
     void take(caller_request request);
+    void begin(live& item);
     bool admit(live& item);
     void dispatch(live& item);
     void send(live& item, const placed& where);
@@ -94,7 +98,8 @@
     std::size_t vms = 1;
     std::unordered_map<std::uint64_t, std::unique_ptr<live>> requests;
     std::map<service_id, fleet_retry_budget> budgets;
-    std::vector<std::uint64_t> over; ///< erased in the tick
+    std::vector<std::uint64_t> over;      ///< erased in the tick
+    std::vector<std::uint64_t> too_early; ///< wait for the first configuration
     instant arrived_last{};
 };
 
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -128,6 +128,7 @@
     this->links.sweep(time);
     this->path.tick(time);
     this->registry.tick(time);
+    this->start_serving();
     this->spread_config_watch(time);
     this->servers.sweep();
     this->sum_peer_loads(time);
@@ -150,6 +151,16 @@
     this->registry.on_leaving.connect([this](const server_id& id) { this->links.forget(id); });
 }
 
+/** Requests are routed once both configuration and servers are known; until then they wait. */
+void router::start_serving()
+{
+    if (this->serving || this->config == nullptr || !this->registry.known()) return;
+    this->serving = true;
+    this->path.set_config(this->config);
+    log_event(log_level::info, "serving",
+              {{"config", this->config->version}, {"servers", this->servers.rows().size()}});
+}
+
 /** Puts a configuration in force unless it is older than the one that is. */
 void router::take_config_document(const std::string& document, std::string_view source)
 {
@@ -165,7 +176,7 @@
         if (!newer) return;
         made->document = document;
         this->config = std::move(made);
-        this->path.set_config(this->config);
+        if (this->serving) this->path.set_config(this->config);
         this->gossip.hasten();
     } catch (const error& fault) {
         log_event(log_level::error, "config_unreadable",
@@ -308,7 +319,7 @@
 
 bool router::ready() const
 {
-    return !this->stopping && this->config != nullptr && this->registry.known();
+    return !this->stopping && this->serving;
 }
 
 void router::check_settings_file(instant time)
--- a/src/router.h
+++ b/src/router.h
@@ -38,6 +38,7 @@
 private:
     void tick();
     void follow_store();
+    void start_serving();
     void take_config_document(const std::string& document, std::string_view source);
     void take_digest(const fleet_gossip::peer& from);
     void sum_peer_loads(instant now);
@@ -85,6 +86,7 @@
     bool fetching = false;
     std::string settings_text; ///< of the file, as last read
     instant settings_read{};
+    bool serving = false; ///< configuration and servers are known
     bool stopping = false;
     instant stop_since{};
     int exit_status = 0;
--- /dev/null
+++ b/test/correctness/router_fleet_serves.cpp
@@ -0,0 +1,151 @@
+/** \file
+ * Routers as processes: a configuration is in force on all of them, also where the store does not
+ * answer; a leaving server gets no new work from any; a planned stop cuts nothing off.
+ */
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "support/router_fleet.h"
+
+namespace {
+
+using namespace support;
+using namespace worksshift;
+using then = scripted_answer::then;
+
+class router_fleet_serves : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(router_fleet_serves);
+    CPPUNIT_TEST(configuration_is_in_force_everywhere);
+    CPPUNIT_TEST(configuration_of_a_dead_store_comes_from_others);
+    CPPUNIT_TEST(leaving_server_gets_no_new_work);
+    CPPUNIT_TEST(planned_stop_cuts_nothing);
+    CPPUNIT_TEST(few_watch_the_registry);
+    CPPUNIT_TEST_SUITE_END();
+
+    static scripted_answer good(const std::string& request)
+    {
+        return {answer_text(200, request, header_in(request, "x-request-id")), then::keep};
+    }
+
+    static std::unique_ptr<router_fleet> served_fleet(std::size_t routers)
+    {
+        auto fleet = std::make_unique<router_fleet>(routers);
+        fleet->set_config(example_config(1));
+        fleet->add_server("a", "desk", good);
+        fleet->add_server("b", "desk", good);
+        fleet->start_all();
+        CPPUNIT_ASSERT(fleet->all_ready());
+        return fleet;
+    }
+
+    /** The example with the key `k1` replaced. */
+    static std::string config_with_key(std::uint64_t version, const std::string& key)
+    {
+        std::string text = example_config(version);
+        return text.replace(text.find("\"k1\""), 4, "\"" + key + "\"");
+    }
+
+    static bool all_answer(router_fleet& fleet, int status)
+    {
+        for (std::size_t i = 0; i < fleet.routers.size(); ++i) {
+            if (status_in(fleet.ask(i, request_text("GET", "/safe/x", "1"))) != status) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+public:
+    static void configuration_is_in_force_everywhere()
+    {
+        const auto fleet = served_fleet(5);
+        CPPUNIT_ASSERT(all_answer(*fleet, 200));
+        fleet->set_config(config_with_key(4, "other"));
+        CPPUNIT_ASSERT(fleet->run_until([&] { return all_answer(*fleet, 401); }, seconds(2)));
+        // An older version that comes late changes nothing.
+        fleet->set_config(example_config(3));
+        fleet->run_until([] { return false; }, milliseconds(700));
+        CPPUNIT_ASSERT(all_answer(*fleet, 401));
+    }
+
+    static void configuration_of_a_dead_store_comes_from_others()
+    {
+        const auto fleet = served_fleet(4);
+        fleet->store->fault = fakes::store_fault::busy;
+        fleet->store->lose_waiting();
+        // A process that starts now learns all that it needs from the others.
+        fleet->routers[3].signal(SIGKILL);
+        fleet->routers[3].wait();
+        fleet->start(3);
+        CPPUNIT_ASSERT(fleet->run_until([&] { return fleet->ready(3); }, seconds(8)));
+        CPPUNIT_ASSERT(all_answer(*fleet, 200));
+    }
+
+    static void leaving_server_gets_no_new_work()
+    {
+        const auto fleet = served_fleet(5);
+        fleet->set_server_state("a", "draining");
+        fleet->run_until([] { return false; }, seconds(2));
+        const std::size_t before = fleet->servers[0]->requests.size();
+        for (int round = 0; round < 4; ++round)
+            CPPUNIT_ASSERT(all_answer(*fleet, 200));
+        CPPUNIT_ASSERT_EQUAL(before, fleet->servers[0]->requests.size());
+    }
+
+    static void planned_stop_cuts_nothing()
+    {
+        const auto fleet = served_fleet(2);
+        std::string config = example_config(2);
+        for (std::size_t at = 0; (at = config.find(":1500", at)) != std::string::npos; ++at)
+            config.replace(at, 5, ":9000");
+        fleet->set_config(config);
+        fleet->run_until([] { return false; }, seconds(1));
+        std::string long_request = request_text("POST", "/once/x", "3", "{}");
+        long_request.replace(long_request.find(": 2000"), 6, ": 9000");
+        fleet->add_server("e", "llm", [](const std::string& request) -> scripted_answer {
+            return {stream_head(request) + event_chunk(1, "first"), then::keep};
+        });
+        CPPUNIT_ASSERT(fleet->run_until(
+            [&] {
+                const auto caller = fleet->connect(0);
+                caller->send(request_text("POST", "/once/x", "2", "{}"));
+                fleet->run_until([&] { return status_in(caller->received) > 0; }, seconds(1));
+                return status_in(caller->received) == 200;
+            },
+            seconds(5)));
+        const auto caller = fleet->connect(0);
+        caller->send(long_request);
+        CPPUNIT_ASSERT(fleet->run_until(
+            [&] { return body_in(caller->received).find("first") != std::string::npos; },
+            seconds(2)));
+        fleet->routers[0].signal(SIGTERM);
+        CPPUNIT_ASSERT(fleet->run_until([&] { return !fleet->ready(0); }, seconds(2)));
+        // Callers that still come are served, on connections that end with their answer.
+        const std::string late = fleet->ask(0, request_text("GET", "/safe/x", "4"));
+        CPPUNIT_ASSERT_EQUAL(200, status_in(late));
+        CPPUNIT_ASSERT_EQUAL(std::string("close"), header_in(late, "connection"));
+        fleet->run_until([] { return false; }, seconds(4));
+        CPPUNIT_ASSERT(!caller->closed);
+        fleet->servers[2]->push(event_chunk(2, "last") + "0\r\n\r\n");
+        CPPUNIT_ASSERT(
+            fleet->run_until([&] { return caller->received.ends_with("0\r\n\r\n"); }, seconds(2)));
+        CPPUNIT_ASSERT_EQUAL(0, fleet->routers[0].wait());
+    }
+
+    static void few_watch_the_registry()
+    {
+        const auto fleet = served_fleet(8);
+        fleet->run_until([] { return false; }, seconds(5));
+        const std::size_t before = fleet->store->watches;
+        fleet->add_server("c", "desk", good);
+        fleet->run_until([] { return false; }, milliseconds(600));
+        // Three answered watches of the registry are asked anew; those of the configuration wait.
+        CPPUNIT_ASSERT(fleet->store->watches - before <= 8);
+        for (int round = 0; round < 3; ++round)
+            CPPUNIT_ASSERT(all_answer(*fleet, 200));
+        CPPUNIT_ASSERT(!fleet->servers[2]->requests.empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(router_fleet_serves);
+
+} // namespace
--- a/test/error/callers_that_ask_badly.cpp
+++ b/test/error/callers_that_ask_badly.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(too_slow);
     CPPUNIT_TEST(unknown_route_and_key);
     CPPUNIT_TEST(no_configuration_yet);
+    CPPUNIT_TEST(configuration_on_its_way);
     CPPUNIT_TEST(headers_of_ours);
     CPPUNIT_TEST(pipelined);
     CPPUNIT_TEST(chunked_body);
@@ -96,6 +97,24 @@
         CPPUNIT_ASSERT(!header_in(caller.received, "retry-after").empty());
     }
 
+    void configuration_on_its_way()
+    {
+        this->rig = std::make_unique<path_rig>();
+        this->rig->add_server("a", "desk", [](const std::string& request) {
+            return scripted_answer{answer_text(200, request, "served"), then::keep};
+        });
+        raw_caller& caller = this->rig->add_caller();
+        raw_caller& leaver = this->rig->add_caller();
+        caller.send(request_text("GET", "/safe/x", "1"));
+        leaver.send(request_text("GET", "/safe/x", "2"));
+        CPPUNIT_ASSERT(this->rig->run_until([&] { return this->rig->path->active() == 2; }));
+        leaver.leave();
+        this->rig->run_for(milliseconds(20));
+        CPPUNIT_ASSERT(caller.received.empty());
+        this->rig->path->set_config(this->rig->dialect.decode_config(example_config(1)));
+        CPPUNIT_ASSERT(this->rig->run_until([&] { return caller.received.ends_with("served"); }));
+    }
+
     void headers_of_ours()
     {
         CPPUNIT_ASSERT_EQUAL(
--- a/test/support/fleet.cpp
+++ b/test/support/fleet.cpp
@@ -97,6 +97,8 @@
     if (log_name.ends_with(".json")) {
         posix_spawn_file_actions_addopen(&files, 1, log_name.c_str(), O_WRONLY | O_CREAT | O_TRUNC,
                                          0644);
+    } else {
+        posix_spawn_file_actions_adddup2(&files, 2, 1);
     }
     const int fault =
         posix_spawn(&this->pid, program_path.c_str(), &files, nullptr, pointers.data(), environ);
--- a/test/support/path_rig.cpp
+++ b/test/support/path_rig.cpp
@@ -137,7 +137,7 @@
     bufferevent_write(this->open.back()->socket.get(), bytes.data(), bytes.size());
 }
 
-raw_caller::raw_caller(event_base* base, std::uint16_t port)
+raw_caller::raw_caller(event_base* base, const link_address& to)
     : socket(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE))
 {
     bufferevent_setcb(
@@ -155,9 +155,10 @@
         },
         this);
     bufferevent_enable(this->socket.get(), EV_READ | EV_WRITE);
-    const sockaddr_in to = loopback(port);
-    bufferevent_socket_connect(this->socket.get(), reinterpret_cast<const sockaddr*>(&to),
-                               sizeof to);
+    sockaddr_in at = loopback(to.port);
+    inet_pton(AF_INET, to.address.c_str(), &at.sin_addr);
+    bufferevent_socket_connect(this->socket.get(), reinterpret_cast<const sockaddr*>(&at),
+                               sizeof at);
 }
 
 raw_caller::~raw_caller()
@@ -208,7 +209,8 @@
 
 raw_caller& path_rig::add_caller()
 {
-    this->raw_callers.push_back(std::make_unique<raw_caller>(this->base.get(), this->front_port));
+    this->raw_callers.push_back(std::make_unique<raw_caller>(
+        this->base.get(), link_address{"127.0.0.1", this->front_port}));
     return *this->raw_callers.back();
 }
 
--- a/test/support/path_rig.h
+++ b/test/support/path_rig.h
@@ -58,7 +58,7 @@
 /** A caller's connection. */
 class raw_caller {
 public:
-    raw_caller(event_base* base, std::uint16_t port);
+    raw_caller(event_base* base, const worksshift::link_address& to);
     ~raw_caller();
     raw_caller(const raw_caller&) = delete;
     raw_caller& operator=(const raw_caller&) = delete;
--- /dev/null
+++ b/test/support/router_fleet.cpp
@@ -0,0 +1,135 @@
+#include "support/router_fleet.h"
+
+#include <algorithm>
+
+namespace support {
+
+using namespace worksshift;
+
+namespace {
+
+constexpr unsigned first_host = 20; ///< of the routers' loopback addresses
+
+} // namespace
+
+router_fleet::router_fleet(std::size_t count)
+    : base(make_event_base()), store_port(free_port()), front_port(free_port()),
+      ready_port(free_port()), peer_port(free_port()), metrics_port(free_port()),
+      ticker(base.get(), [] {})
+{
+    this->store = std::make_unique<fakes::fake_store>(this->base.get(),
+                                                      link_address{"127.0.0.1", this->store_port});
+    this->routers.resize(count);
+    // Wakes the loop, so that conditions on time are looked at.
+    this->ticker.start_every(milliseconds(10));
+}
+
+std::string router_fleet::address_of(std::size_t router) const
+{
+    return "127.0.0." + std::to_string(first_host + router);
+}
+
+void router_fleet::start(std::size_t router)
+{
+    const std::string own = this->address_of(router);
+    std::string seeds;
+    for (std::size_t i = 0; i < std::min<std::size_t>(this->routers.size(), 3); ++i)
+        seeds += this->address_of(i) + ":1,";
+    const auto at = [&own](std::uint16_t port) { return own + ":" + std::to_string(port); };
+    this->routers[router] =
+        child(WORKSSHIFT_BINARY_DIR "/worksshift-router",
+              {"--vm=vm" + std::to_string(router), "--data-centre=dc",
+               "--front=" + at(this->front_port), "--readiness=" + at(this->ready_port),
+               "--peer-address=" + own, "--peer-port=" + std::to_string(this->peer_port),
+               "--metrics-port=" + std::to_string(this->metrics_port),
+               "--store=127.0.0.1:" + std::to_string(this->store_port), "--seeds=" + seeds,
+               "--stop-grace-s=8"},
+              "router-" + std::to_string(router));
+}
+
+void router_fleet::start_all()
+{
+    for (std::size_t i = 0; i < this->routers.size(); ++i)
+        this->start(i);
+}
+
+std::string router_fleet::entry(const std::string& id, const std::string& state)
+{
+    const auto found = std::ranges::find(this->listings, id, &listing::id);
+    return R"({"service":")" + found->service + R"(","address":")" + to_string(found->address) +
+           R"(","zone":"dc","slots":8,"state":")" + state + R"("})";
+}
+
+scripted_server& router_fleet::add_server(const std::string& id, const std::string& service,
+                                          scripted_server::script answer)
+{
+    this->servers.push_back(std::make_unique<scripted_server>(this->base.get(), std::move(answer)));
+    this->listings.push_back({id, service, this->servers.back()->address()});
+    this->store->put("servers", id, this->entry(id, "ready"));
+    return *this->servers.back();
+}
+
+void router_fleet::set_server_state(const std::string& id, const std::string& state)
+{
+    this->store->put("servers", id, this->entry(id, state));
+}
+
+std::unique_ptr<raw_caller> router_fleet::connect(std::size_t router)
+{
+    return std::make_unique<raw_caller>(this->base.get(),
+                                        link_address{this->address_of(router), this->front_port});
+}
+
+bool router_fleet::run_until(const std::function<bool()>& done, duration limit)
+{
+    const instant end = std::chrono::steady_clock::now() + limit;
+    while (!done()) {
+        if (std::chrono::steady_clock::now() > end) return false;
+        event_base_loop(this->base.get(), EVLOOP_ONCE);
+    }
+    return true;
+}
+
+std::string router_fleet::ask(std::size_t router, const std::string& text)
+{
+    const auto caller = this->connect(router);
+    caller->send(text);
+    this->run_until([&] { return caller->closed || is_whole(caller->received); }, seconds(5));
+    return caller->received;
+}
+
+bool router_fleet::ready(std::size_t router)
+{
+    raw_caller caller(this->base.get(), {this->address_of(router), this->ready_port});
+    caller.send("GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    this->run_until([&] { return caller.closed || status_in(caller.received) > 0; }, seconds(1));
+    return status_in(caller.received) == 200;
+}
+
+bool router_fleet::all_ready()
+{
+    const instant end = std::chrono::steady_clock::now() + seconds(10);
+    for (std::size_t i = 0; i < this->routers.size(); ++i) {
+        while (!this->ready(i)) {
+            if (std::chrono::steady_clock::now() > end) return false;
+        }
+    }
+    return true;
+}
+
+bool is_whole(const std::string& answer)
+{
+    if (answer.ends_with("0\r\n\r\n")) return true;
+    const std::string length = header_in(answer, "content-length");
+    return !length.empty() && body_in(answer).size() >= std::stoul(length);
+}
+
+int status_in(const std::string& answer)
+{
+    constexpr std::size_t status_at = 9;
+    constexpr std::size_t status_size = 3;
+    if (answer.size() < status_at + status_size) return 0;
+    return std::stoi(answer.substr(status_at, status_size));
+}
+
+} // namespace support
