--- a/src/caller_links.cpp
+++ b/src/caller_links.cpp
@@ -20,7 +20,7 @@
 /** Time for a whole body to come, beside the head's. */
 constexpr duration body_timeout = seconds(10);
 /** Unread bytes of a next request at which reading stops until the answer is complete. */
-constexpr std::size_t read_ahead_at_most = 64 * 1024;
+constexpr std::size_t read_ahead_at_most = std::size_t{64} * 1024;
 constexpr int bad_request = 400;
 constexpr int request_timeout = 408;
 constexpr int content_too_large = 413;
@@ -52,8 +52,7 @@
     instant since{};       ///< of the stage, or of the first byte of a head
 };
 
-caller_links::caller_links(event_base* base, const link_address& listen, const protocol& dialect)
-    : base(base), dialect(dialect)
+caller_links::caller_links(event_base* base, const link_address& listen) : base(base)
 {
     sockaddr_in at{};
     at.sin_family = AF_INET;
--- a/src/caller_links.h
+++ b/src/caller_links.h
@@ -36,7 +36,7 @@
 
 class caller_links {
 public:
-    caller_links(event_base* base, const link_address& listen, const protocol& dialect);
+    caller_links(event_base* base, const link_address& listen);
     ~caller_links();
     caller_links(const caller_links&) = delete;
     caller_links& operator=(const caller_links&) = delete;
@@ -87,7 +87,6 @@
                            std::optional<std::size_t> length) const;
 
     event_base* base;
-    const protocol& dialect;
     caller_limits limits;
     event_ptr<evconnlistener> listener;
     std::unordered_map<std::uint64_t, std::unique_ptr<link>> links; ///< by connection
--- a/src/fleet_gossip.cpp
+++ b/src/fleet_gossip.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::size_t digest_bytes_at_most = 16 * 1024;
+constexpr std::size_t digest_bytes_at_most = std::size_t{16} * 1024;
 /** Addresses of VMs that one digest names; the next goes on with others. */
 constexpr std::size_t vms_per_digest = 6;
 constexpr std::uint16_t known_format = 1;
--- a/src/protocol.h
+++ b/src/protocol.h
@@ -104,8 +104,8 @@
 };
 
 struct caller_limits {
-    std::size_t header_bytes = 16 * 1024;
-    std::size_t body_bytes = 4 * 1024 * 1024;
+    std::size_t header_bytes = std::size_t{16} * 1024;
+    std::size_t body_bytes = std::size_t{4} * 1024 * 1024;
     milliseconds header_timeout = seconds(3);
     milliseconds idle_timeout = seconds(15);
 };
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -297,10 +297,11 @@
     const instant time = now();
     this->release(item);
     if (item.refused || end.result == send_result::not_sent) {
-        if (end.result == send_result::not_sent)
+        if (end.result == send_result::not_sent) {
             row.health.on_unreachable(time);
-        else
+        } else {
             row.health.on_neutral();
+        }
         this->take_refusal(item, end);
         return;
     }
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -33,7 +33,7 @@
 constexpr duration least_time_to_retry = milliseconds(60);
 /** Body bytes of an answer that is not a stream that are held until it is whole. A broken one can
  * then still be replaced or reported; larger ones are passed on as they come. */
-constexpr std::size_t answer_held_at_most = 64 * 1024;
+constexpr std::size_t answer_held_at_most = std::size_t{64} * 1024;
 /** Named to callers that are refused: about the time in which a brief surge is worked off. */
 constexpr duration refusal_retry_after = milliseconds(400);
 /** Named to callers while this VM has no configuration yet. */
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -81,9 +81,8 @@
 
 router::router(router_settings given, const protocol& dialect, settings_source reload)
     : options(std::move(given)), dialect(dialect), reload(std::move(reload)),
-      base(make_event_base()), servers(options.data_centre),
-      callers(base.get(), options.front, dialect), links(base.get(), dialect),
-      path(callers, links, servers, dialect, numbers),
+      base(make_event_base()), servers(options.data_centre), callers(base.get(), options.front),
+      links(base.get(), dialect), path(callers, links, servers, dialect, numbers),
       gossip(base.get(), options.peer, options.seeds), caller(base.get()),
       config_watch(base.get(), caller, options.store, dialect, object_kind::configuration),
       registry(base.get(), caller, options.store, dialect, servers, gossip),
--- a/src/router.h
+++ b/src/router.h
@@ -77,8 +77,6 @@
     signal_watch on_hup;
 
     router_config_ptr config;
-    std::uint64_t newest_registry = 0; ///< newest change of the registry that another VM knows
-    instant registry_news_since{};
     bool loads_changed = false;
     instant summed_at{};
     std::uint64_t newest_heard = 0; ///< version of the configuration at another VM
--- a/src/server_links.cpp
+++ b/src/server_links.cpp
@@ -14,7 +14,7 @@
 /** The shortest that the system takes; a silent peer is noticed after about two seconds. */
 constexpr int keepalive_s = 1;
 constexpr int keepalive_probes = 1;
-constexpr std::size_t answer_head_at_most = 32 * 1024;
+constexpr std::size_t answer_head_at_most = std::size_t{32} * 1024;
 
 instant now()
 {
