--- a/src/fleet_gossip.cpp
+++ b/src/fleet_gossip.cpp
@@ -133,6 +133,7 @@
     const std::string bytes = stream.str();
     for (const auto& [address, item] : this->peers) {
         const sockaddr_in to = to_socket_address(address, this->own.port);
+        this->sent += bytes.size();
         // A datagram that cannot be sent is as good as a lost one: the next replaces it.
         ::sendto(this->socket, bytes.data(), bytes.size(), MSG_DONTWAIT,
                  reinterpret_cast<const sockaddr*>(&to), sizeof to);
--- a/src/fleet_gossip.h
+++ b/src/fleet_gossip.h
@@ -87,6 +87,7 @@
 
     /** VMs heard lately. */
     [[nodiscard]] std::vector<const peer*> heard(instant now) const;
+    [[nodiscard]] std::uint64_t bytes_sent() const { return this->sent; }
     /** Random for each start; VMs are ranked by it. */
     [[nodiscard]] std::uint64_t own_incarnation() const { return this->incarnation; }
     [[nodiscard]] duration period() const;
@@ -109,6 +110,7 @@
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     instant next_send{};
+    std::uint64_t sent = 0;
     std::size_t vms_told = 0; ///< where the next digest goes on in the list of VMs
 
 public:
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -312,6 +312,7 @@
          << '\n';
     text << "worksshift_registry_watched " << (this->registry.watching() ? 1 : 0) << '\n';
     text << "worksshift_store_reachable " << (this->registry.store_reachable() ? 1 : 0) << '\n';
+    text << "worksshift_digest_bytes_sent_total " << this->gossip.bytes_sent() << '\n';
     text << "worksshift_vms_heard " << this->gossip.heard(now()).size() << '\n';
     return text.str();
 }
--- /dev/null
+++ b/test/performance/router.cpp
@@ -0,0 +1,145 @@
+/** \file
+ * What a router costs: processor time for each event of a stream and memory for each stream under a
+ * steady load through one router, and what fleets of several sizes spend on themselves while idle.
+ */
+#include <fstream>
+#include <sstream>
+
+#include <unistd.h>
+
+#include "support/figure.h"
+#include "support/router_fleet.h"
+
+namespace {
+
+using namespace support;
+using namespace worksshift;
+
+constexpr std::size_t streams = 60;
+constexpr unsigned events_per_stream = 200;
+constexpr duration event_period = milliseconds(20);
+
+/** User and system time of a process so far, in seconds. */
+double cpu_seconds(pid_t process)
+{
+    std::ifstream file("/proc/" + std::to_string(process) + "/stat");
+    std::string line;
+    std::getline(file, line);
+    std::istringstream fields(line.substr(line.rfind(')') + 2));
+    std::string word;
+    double ticks = 0;
+    constexpr int user_field = 14;
+    constexpr int system_field = 15;
+    for (int i = 3; fields >> word; ++i) {
+        if (i == user_field || i == system_field) ticks += std::stod(word);
+    }
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+double resident_kb(pid_t process)
+{
+    std::ifstream file("/proc/" + std::to_string(process) + "/status");
+    for (std::string line; std::getline(file, line);) {
+        if (line.starts_with("VmRSS:")) return std::stod(line.substr(6));
+    }
+    return 0;
+}
+
+double counter(const std::string& text, const std::string& name)
+{
+    const std::size_t at = text.find("\n" + name + " ");
+    return at == std::string::npos ? 0 : std::stod(text.substr(at + name.size() + 2));
+}
+
+/** Streams that all run at once, an event each 20 ms, as an engine under load sends them. */
+void measure_path(figures& shown)
+{
+    router_fleet fleet(1);
+    std::string config = example_config(1);
+    for (std::size_t at = 0; (at = config.find(":1500", at)) != std::string::npos; ++at)
+        config.replace(at, 5, ":9000");
+    fleet.set_config(config);
+    const auto begin = [](const std::string& request) -> scripted_answer {
+        return {stream_head(request) + event_chunk(1, "first"), scripted_answer::then::keep};
+    };
+    // One connection each, so that events can be pushed on all of them.
+    std::vector<scripted_server*> engines;
+    for (std::size_t i = 0; i < streams; ++i)
+        engines.push_back(&fleet.add_server("e" + std::to_string(i), "llm", begin));
+    fleet.start_all();
+    fleet.all_ready();
+    const pid_t process = fleet.routers[0].id();
+    const double before_kb = resident_kb(process);
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    std::string request = request_text("POST", "/once/x", "1", "{}");
+    request.replace(request.find(": 2000"), 6, ": 9000");
+    for (std::size_t i = 0; i < streams; ++i) {
+        callers.push_back(fleet.connect(0));
+        callers.back()->send(request);
+        const raw_caller& caller = *callers.back();
+        fleet.run_until([&] { return !caller.received.empty(); }, seconds(1));
+    }
+    const double per_stream_kb = (resident_kb(process) - before_kb) / streams;
+    const double before = cpu_seconds(process);
+    for (unsigned event = 2; event <= events_per_stream; ++event) {
+        for (scripted_server* engine : engines) {
+            if (engine->connections > 0) engine->push(event_chunk(event, std::string(60, 'x')));
+        }
+        fleet.run_until([] { return false; }, event_period);
+    }
+    std::size_t passed = 0;
+    for (const auto& caller : callers) {
+        const std::string body = body_in(caller->received);
+        for (std::size_t at = 0; (at = body.find("id: ", at)) != std::string::npos; ++at)
+            ++passed;
+    }
+    const double spent = cpu_seconds(process) - before;
+    constexpr double micros = 1e6;
+    shown.at_most("router.processor_per_event", spent * micros / static_cast<double>(passed), "us",
+                  25);
+    shown.note("router.events_passed", static_cast<double>(passed), "events");
+    shown.at_most("router.memory_per_stream", per_stream_kb, "KB", 64);
+    shown.at_most("router.memory_at_start", before_kb / 1024, "MB", 25);
+}
+
+/** Idle fleets: what a VM spends on digests, watches and its tick. */
+void measure_control(std::size_t vms, figures& shown)
+{
+    router_fleet fleet(vms);
+    fleet.set_config(example_config(1));
+    const auto good = [](const std::string& request) -> scripted_answer {
+        return {answer_text(200, request, "x"), scripted_answer::then::keep};
+    };
+    for (int i = 0; i < 20; ++i)
+        fleet.add_server("s" + std::to_string(i), "desk", good);
+    fleet.start_all();
+    fleet.all_ready();
+    constexpr duration settle = seconds(5);
+    constexpr duration span = seconds(6);
+    fleet.run_until([] { return false; }, settle);
+    const std::string sent = "worksshift_digest_bytes_sent_total";
+    const double bytes = counter(fleet.metrics(0), sent);
+    const std::size_t calls = fleet.store->watches + fleet.store->lists;
+    const double before = cpu_seconds(fleet.routers[0].id());
+    fleet.run_until([] { return false; }, span);
+    const double s = std::chrono::duration<double>(span).count();
+    const std::string size = "router.control_" + std::to_string(vms) + "_vms.";
+    constexpr double percent = 100;
+    shown.at_most(size + "processor", (cpu_seconds(fleet.routers[0].id()) - before) / s * percent,
+                  "percent", 3.3);
+    shown.at_most(size + "digests_sent", (counter(fleet.metrics(0), sent) - bytes) / s, "B/s",
+                  12000);
+    shown.note(size + "store_calls",
+               static_cast<double>(fleet.store->watches + fleet.store->lists - calls) / s, "per_s");
+}
+
+} // namespace
+
+int main()
+{
+    figures shown;
+    measure_path(shown);
+    for (const std::size_t vms : {4, 16, 48})
+        measure_control(vms, shown);
+    return shown.exit_status();
+}
--- a/test/support/router_fleet.cpp
+++ b/test/support/router_fleet.cpp
@@ -106,6 +106,14 @@
     return status_in(caller.received) == 200;
 }
 
+std::string router_fleet::metrics(std::size_t router)
+{
+    raw_caller caller(this->base.get(), {this->address_of(router), this->metrics_port});
+    caller.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    this->run_until([&] { return caller.closed; }, seconds(2));
+    return caller.received;
+}
+
 bool router_fleet::all_ready()
 {
     const instant end = std::chrono::steady_clock::now() + seconds(10);
--- a/test/support/router_fleet.h
+++ b/test/support/router_fleet.h
@@ -36,6 +36,8 @@
     /** Whether the router says that it takes callers. */
     bool ready(std::size_t router);
     bool all_ready();
+    /** The router's counters and histograms as text. */
+    std::string metrics(std::size_t router);
     bool run_until(const std::function<bool()>& done, worksshift::duration limit);
 
     worksshift::event_ptr<event_base> base;
