--- a/src/caller_links.cpp
+++ b/src/caller_links.cpp
@@ -1,7 +1,9 @@
 #include "caller_links.h"
 
 #include <array>
+#include <cerrno>
 #include <cstdio>
+#include <cstring>
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
@@ -68,10 +70,22 @@
         throw user_error("listen", listen.address + ":" + std::to_string(listen.port),
                          "the address for callers cannot be bound");
     }
+    evconnlistener_set_error_cb(this->listener.get(), [](evconnlistener*, void* self) {
+        static_cast<caller_links*>(self)->rest();
+    });
 }
 
 caller_links::~caller_links() = default;
 
+/** No descriptor is free: new callers wait in the system's queue until the next sweep. */
+void caller_links::rest()
+{
+    log_event(log_level::warn, "accept_failed",
+              {{"reason", std::strerror(errno)}, {"connections", this->links.size()}});
+    evconnlistener_disable(this->listener.get());
+    this->resting = true;
+}
+
 void caller_links::accept(evutil_socket_t socket)
 {
     auto made = std::make_unique<link>(this->limits.header_bytes);
@@ -329,6 +343,9 @@
     for (const std::uint64_t id : this->dropped)
         this->links.erase(id);
     this->dropped.clear();
+    if (std::exchange(this->resting, false) && this->listener != nullptr) {
+        evconnlistener_enable(this->listener.get());
+    }
     for (const auto& [id, item] : this->links)
         this->check(*item, time);
 }
--- a/src/caller_links.h
+++ b/src/caller_links.h
@@ -73,6 +73,7 @@
     struct link;
 
     void accept(evutil_socket_t socket);
+    void rest();
     void read(link& item);
     void take_head(link& item, const http_head& head);
     void take_body(link& item, std::string_view bytes);
@@ -95,6 +96,7 @@
     std::uint64_t next_link = 1;
     std::uint64_t next_request = 1;
     bool closing = false;
+    bool resting = false; ///< accepts nothing until the next sweep
 };
 
 } // namespace worksshift
--- a/src/fleet_gossip.cpp
+++ b/src/fleet_gossip.cpp
@@ -86,7 +86,10 @@
 
 duration fleet_gossip::period() const
 {
-    return std::max<duration>(digest_period, digest_spacing * (this->peers.size() + 1));
+    const std::size_t vms = this->peers.size() + 1;
+    const duration spread = digest_spacing * vms;
+    const double larger = std::max(1.0, static_cast<double>(vms) / digests_full_up_to);
+    return std::max<duration>(digest_period, std::chrono::duration_cast<duration>(spread * larger));
 }
 
 link_address fleet_gossip::address_of(const peer& item) const
@@ -125,6 +128,9 @@
         digest.vms.push_back(live[this->vms_told++ % live.size()]->address);
     }
     describe(digest);
+    if (digest.watches_servers) {
+        this->next_send = now + std::min<duration>(this->period(), followed_period);
+    }
     std::ostringstream stream;
     {
         cereal::PortableBinaryOutputArchive archive(stream);
--- a/src/fleet_gossip.h
+++ b/src/fleet_gossip.h
@@ -60,8 +60,15 @@
 
 /** Time between digests in a small fleet. Loads older than a few of these mislead. */
 constexpr duration digest_period = milliseconds(150);
-/** Each VM receives at most one digest in this time on the mean, whatever the fleet's size. */
+/** Each VM receives at most one digest in this time on the mean, up to the size below. */
 constexpr duration digest_spacing = milliseconds(8);
+/** In larger fleets digests grow rarer still, so that the bytes of the whole fleet stay the same
+ * from this size on. */
+constexpr std::size_t digests_full_up_to = 100;
+/** The few VMs that others follow tell of themselves at least this often, whatever the size. */
+constexpr duration followed_period = milliseconds(500);
+/** Loads that are told more rarely than this say nothing any more, and are left out. */
+constexpr duration loads_told_up_to = seconds(2);
 /** A VM from which nothing was heard for this many periods counts for nothing. */
 constexpr int periods_until_silent = 8;
 /** A silent VM is still sent to for this time, so that it is found again after a cut. */
@@ -90,7 +97,9 @@
     [[nodiscard]] std::uint64_t bytes_sent() const { return this->sent; }
     /** Random for each start; VMs are ranked by it. */
     [[nodiscard]] std::uint64_t own_incarnation() const { return this->incarnation; }
+    /** Between digests of a VM that nobody follows. */
     [[nodiscard]] duration period() const;
+    [[nodiscard]] bool tells_loads() const { return this->period() <= loads_told_up_to; }
     [[nodiscard]] link_address address_of(const peer& item) const;
 
     /** A newer digest of a VM has come. */
--- a/src/registry_follower.cpp
+++ b/src/registry_follower.cpp
@@ -59,8 +59,8 @@
 void registry_follower::choose_source(instant now)
 {
     const auto heard = this->gossip.heard(now);
-    const duration limit =
-        std::max<duration>(watcher_heard_within, this->gossip.period() * watcher_periods);
+    const duration period = std::min<duration>(this->gossip.period(), followed_period);
+    const duration limit = std::max<duration>(watcher_heard_within, period * watcher_periods);
     const auto others = std::ranges::count_if(heard, [&](const fleet_gossip::peer* item) {
         return item->last.watches_servers && !item->last.leaving && now - item->heard_at < limit &&
                item->last.incarnation < this->gossip.own_incarnation();
@@ -88,7 +88,9 @@
 
 void registry_follower::ask_peer(instant now)
 {
-    const auto heard = this->gossip.heard(now);
+    auto heard = this->gossip.heard(now);
+    // Any of those that know the most: if all asked the same one, it would be swamped.
+    std::ranges::shuffle(heard, this->random);
     const auto newest = std::ranges::max_element(
         heard, {}, [](const fleet_gossip::peer* item) { return item->last.servers_revision; });
     const std::uint64_t own = this->feed.revision();
--- a/src/registry_follower.h
+++ b/src/registry_follower.h
@@ -7,6 +7,8 @@
  */
 #pragma once
 
+#include <random>
+
 #include "fleet_gossip.h"
 #include "http_call.h"
 #include "object_watch.h"
@@ -61,6 +63,7 @@
     bool asking = false;
     instant behind_since{};  ///< another VM knows a newer change; the epoch: none does
     instant watched_since{}; ///< enough others watch; the epoch: they do not
+    std::minstd_rand random{std::random_device{}()};
 };
 
 /** Where other VMs ask. */
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -217,6 +217,7 @@
     digest.config_version = this->config == nullptr ? 0 : this->config->version;
     this->registry.describe(digest, now());
     digest.leaving = this->stopping;
+    if (!this->gossip.tells_loads()) return;
     for (const auto& [id, row] : this->servers.rows()) {
         if (row.in_flight == 0) continue;
         digest.loads.push_back({short_hash(row), static_cast<std::uint16_t>(row.in_flight)});
--- a/test/support/fleet.cpp
+++ b/test/support/fleet.cpp
@@ -127,6 +127,15 @@
     if (this->pid > 0) ::kill(this->pid, number);
 }
 
+bool child::ended()
+{
+    if (this->pid <= 0) return true;
+    int status = 0;
+    if (waitpid(this->pid, &status, WNOHANG) == 0) return false;
+    this->pid = -1;
+    return true;
+}
+
 int child::wait()
 {
     if (this->pid <= 0) return -1;
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -33,6 +33,8 @@
     void signal(int number) const;
     /** Waits for the end; the exit status, or 128 plus the signal that ended it. */
     int wait();
+    /** Whether it has ended by now; its id is given up then. */
+    bool ended();
     [[nodiscard]] bool running() const { return this->pid > 0; }
     [[nodiscard]] pid_t id() const { return this->pid; }
 
