--- /dev/null
+++ b/src/live_request.h
@@ -0,0 +1,59 @@
+/** \file
+ * What is known of a request while it is served.
+ */
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "event_stream.h"
+#include "protocol.h"
+#include "server_table.h"
+
+namespace worksshift {
+
+/** One request from its arrival to its final answer. */
+struct live_request {
+    std::uint64_t id = 0;
+    http_head head;
+    std::string body;
+    request_facts facts;
+    router_config_ptr config; ///< by which it was admitted
+    const route* way = nullptr;
+    client_account_id account;
+    unsigned priority = 0;
+    service_id service;
+    bool engine = false;
+    std::uint64_t affinity = 0;
+    instant arrived{};
+    instant deadline{};
+
+    std::vector<server_id> tried;
+    unsigned sends = 0;
+    unsigned runs = 0; ///< sends that may have run
+    std::uint64_t attempt = 0;
+    server_entry* row = nullptr; ///< of the attempt
+    placed where;
+    duration loads_age{}; ///< of the other VMs' loads when the server was chosen
+    instant last_byte{};  ///< of the attempt, or when it was sent
+
+    http_head answer;
+    bool answered = false; ///< the attempt's head has come
+    bool refused = false;  ///< the attempt's answer states that it did not run
+    bool streaming = false;
+    bool unusable = false; ///< the answer cannot go on behind what the caller has
+    bool begun = false;    ///< the caller has the head
+    bool gone = false;     ///< the caller left; the attempt runs out
+    bool ended = false;
+    std::string held;
+    event_stream events;
+    instant first_event{};
+
+    [[nodiscard]] bool repeatable() const
+    {
+        return this->way->kind == route_kind::idempotent ||
+               (this->way->kind == route_kind::event_stream && this->way->resumable);
+    }
+};
+
+} // namespace worksshift
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -48,49 +48,6 @@
 
 } // namespace
 
-struct request_path::live {
-    std::uint64_t id = 0;
-    http_head head;
-    std::string body;
-    request_facts facts;
-    router_config_ptr config; ///< by which it was admitted
-    const route* way = nullptr;
-    client_account_id account;
-    unsigned priority = 0;
-    service_id service;
-    bool engine = false;
-    std::uint64_t affinity = 0;
-    instant arrived{};
-    instant deadline{};
-
-    std::vector<server_id> tried;
-    unsigned sends = 0;
-    unsigned runs = 0; ///< sends that may have run
-    std::uint64_t attempt = 0;
-    server_entry* row = nullptr; ///< of the attempt
-    placed where;
-    duration loads_age{}; ///< of the other VMs' loads when the server was chosen
-    instant last_byte{};  ///< of the attempt, or when it was sent
-
-    http_head answer;
-    bool answered = false; ///< the attempt's head has come
-    bool refused = false;  ///< the attempt's answer states that it did not run
-    bool streaming = false;
-    bool unusable = false; ///< the answer cannot go on behind what the caller has
-    bool begun = false;    ///< the caller has the head
-    bool gone = false;     ///< the caller left; the attempt runs out
-    bool ended = false;
-    std::string held;
-    event_stream events;
-    instant first_event{};
-
-    [[nodiscard]] bool repeatable() const
-    {
-        return this->way->kind == route_kind::idempotent ||
-               (this->way->kind == route_kind::event_stream && this->way->resumable);
-    }
-};
-
 request_path::request_path(caller_links& callers, server_links& servers, server_table& table,
                            const protocol& dialect, metrics& numbers)
     : callers(callers), servers(servers), table(table), dialect(dialect), numbers(numbers)
@@ -120,8 +77,8 @@
 
 void request_path::take(caller_request request)
 {
-    auto made = std::make_unique<live>();
-    live& item = *made;
+    auto made = std::make_unique<live_request>();
+    live_request& item = *made;
     item.id = request.id;
     item.arrived = now();
     this->arrived_last = item.arrived;
@@ -137,14 +94,14 @@
     }
 }
 
-void request_path::begin(live& item)
+void request_path::begin(live_request& item)
 {
     item.config = this->config;
     if (this->admit(item)) this->dispatch(item);
 }
 
 /** Finds route, account and deadline. Answers the caller itself when there is none. */
-bool request_path::admit(live& item)
+bool request_path::admit(live_request& item)
 {
     const std::string* host = item.head.find("host");
     item.way = host == nullptr ? nullptr : item.config->find(*host, item.head.target);
@@ -174,7 +131,7 @@
     return true;
 }
 
-void request_path::dispatch(live& item)
+void request_path::dispatch(live_request& item)
 {
     const placed where =
         this->table.choose({item.service, item.engine, item.affinity, item.tried}, now());
@@ -185,7 +142,7 @@
     this->send(item, where);
 }
 
-void request_path::send(live& item, const placed& where)
+void request_path::send(live_request& item, const placed& where)
 {
     const instant time = now();
     server_entry& row = *where.row;
@@ -221,7 +178,7 @@
     this->servers.start(order);
 }
 
-request_path::live* request_path::find_attempt(std::uint64_t attempt)
+live_request* request_path::find_attempt(std::uint64_t attempt)
 {
     const auto found = this->requests.find(attempt >> attempt_bits);
     if (found == this->requests.end() || found->second->attempt != attempt) return nullptr;
@@ -231,7 +188,7 @@
 void request_path::take_head(std::uint64_t attempt, const http_head& head,
                              const answer_facts& facts)
 {
-    live* item = this->find_attempt(attempt);
+    live_request* item = this->find_attempt(attempt);
     if (item == nullptr) return;
     item->answered = true;
     item->last_byte = now();
@@ -250,7 +207,7 @@
 
 void request_path::take_body(std::uint64_t attempt, std::string_view bytes)
 {
-    live* item = this->find_attempt(attempt);
+    live_request* item = this->find_attempt(attempt);
     if (item == nullptr) return;
     item->last_byte = now();
     item->row->heard_at = item->last_byte;
@@ -280,7 +237,7 @@
 }
 
 /** The attempt is over: its server carries one request less. */
-void request_path::release(live& item)
+void request_path::release(live_request& item)
 {
     if (item.row == nullptr) return;
     --item.row->in_flight;
@@ -290,9 +247,9 @@
 
 void request_path::take_end(const attempt_end& end)
 {
-    live* found = this->find_attempt(end.attempt);
+    live_request* found = this->find_attempt(end.attempt);
     if (found == nullptr) return;
-    live& item = *found;
+    live_request& item = *found;
     server_entry& row = *item.row;
     const instant time = now();
     this->release(item);
@@ -327,7 +284,7 @@
     this->finish_answer(item);
 }
 
-void request_path::finish_answer(live& item)
+void request_path::finish_answer(live_request& item)
 {
     // These statuses promise that nothing ran, and the server did not say so.
     const bool false_promise =
@@ -345,7 +302,7 @@
 }
 
 /** The server did not run the request: it was full, is another one, or was never reached. */
-void request_path::take_refusal(live& item, const attempt_end& end)
+void request_path::take_refusal(live_request& item, const attempt_end& end)
 {
     const bool sent = end.result != send_result::not_sent;
     const bool budgeted = !sent || this->may_retry(item, false);
@@ -358,7 +315,7 @@
     this->fail(item, end.step, sent ? "not executed" : end.detail);
 }
 
-bool request_path::may_retry(live& item, bool may_have_run)
+bool request_path::may_retry(live_request& item, bool may_have_run)
 {
     const instant time = now();
     if (item.gone || item.sends >= sends_at_most) return false;
@@ -367,7 +324,7 @@
     return this->budgets[item.service].take(time, this->budget_settings, this->vms);
 }
 
-void request_path::retry_or_fail(live& item, bool may_have_run, const char* step,
+void request_path::retry_or_fail(live_request& item, bool may_have_run, const char* step,
                                  const std::string& detail)
 {
     // Only a stream of events can go on behind what the caller already has.
@@ -382,7 +339,7 @@
 }
 
 /** No further attempt: the caller gets its final answer now. */
-void request_path::fail(live& item, const char* step, const std::string& detail)
+void request_path::fail(live_request& item, const char* step, const std::string& detail)
 {
     this->log_attempt(item, "failed", step, detail);
     if (item.begun) {
@@ -397,13 +354,14 @@
     this->answer_own(item, unavailable, "not run: " + detail, refusal_retry_after);
 }
 
-void request_path::answer_own(live& item, int status, std::string text, duration retry_after)
+void request_path::answer_own(live_request& item, int status, std::string text,
+                              duration retry_after)
 {
     if (!item.gone) this->callers.answer(item.id, {status, std::move(text), retry_after});
     this->end(item, "own_answer", status);
 }
 
-void request_path::end(live& item, std::string_view outcome, int status)
+void request_path::end(live_request& item, std::string_view outcome, int status)
 {
     if (item.ended) return;
     item.ended = true;
@@ -443,7 +401,7 @@
 {
     const auto found = this->requests.find(request);
     if (found == this->requests.end() || found->second->ended) return;
-    live& item = *found->second;
+    live_request& item = *found->second;
     item.gone = true;
     if (item.way != nullptr && item.way->kind == route_kind::non_idempotent) return;
     if (item.row != nullptr) {
@@ -454,7 +412,7 @@
     this->end(item, "caller_gone", 0);
 }
 
-void request_path::check_silence(live& item, instant time)
+void request_path::check_silence(live_request& item, instant time)
 {
     if (item.row == nullptr || item.gone || !item.repeatable()) return;
     const duration limit =
@@ -475,7 +433,7 @@
     this->dispatch(item);
 }
 
-void request_path::expire(live& item)
+void request_path::expire(live_request& item)
 {
     if (item.config == nullptr) {
         this->answer_own(item, unavailable, "no configuration yet", starting_retry_after);
@@ -502,11 +460,11 @@
         this->requests.erase(id);
     this->over.clear();
     // An answer can let the next request of its connection in, so the table may change meanwhile.
-    std::vector<live*> current;
+    std::vector<live_request*> current;
     for (const auto& [id, item] : this->requests) {
         if (!item->ended) current.push_back(item.get());
     }
-    for (live* item : current) {
+    for (live_request* item : current) {
         if (time >= item->deadline) {
             this->expire(*item);
         } else {
@@ -515,8 +473,8 @@
     }
 }
 
-void request_path::log_attempt(const live& item, std::string_view outcome, std::string_view step,
-                               std::string_view detail) const
+void request_path::log_attempt(const live_request& item, std::string_view outcome,
+                               std::string_view step, std::string_view detail) const
 {
     log_event(log_level::info, "attempt",
               {{"request", item.facts.id},
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -15,8 +15,8 @@
 #include <vector>
 
 #include "caller_links.h"
-#include "event_stream.h"
 #include "fleet_retry_budget.h"
+#include "live_request.h"
 #include "metrics.h"
 #include "server_links.h"
 #include "server_table.h"
@@ -63,29 +63,28 @@
     [[nodiscard]] instant last_arrival() const { return this->arrived_last; }
 
 private:
-    struct live;
-
     void take(caller_request request);
-    void begin(live& item);
-    bool admit(live& item);
-    void dispatch(live& item);
-    void send(live& item, const placed& where);
+    void begin(live_request& item);
+    bool admit(live_request& item);
+    void dispatch(live_request& item);
+    void send(live_request& item, const placed& where);
     void take_head(std::uint64_t attempt, const http_head& head, const answer_facts& facts);
     void take_body(std::uint64_t attempt, std::string_view bytes);
     void take_end(const attempt_end& end);
-    void finish_answer(live& item);
-    void take_refusal(live& item, const attempt_end& end);
-    void retry_or_fail(live& item, bool may_have_run, const char* step, const std::string& detail);
-    [[nodiscard]] bool may_retry(live& item, bool may_have_run);
-    void fail(live& item, const char* step, const std::string& detail);
-    void answer_own(live& item, int status, std::string text, duration retry_after = {});
-    void release(live& item);
-    void end(live& item, std::string_view outcome, int status);
+    void finish_answer(live_request& item);
+    void take_refusal(live_request& item, const attempt_end& end);
+    void retry_or_fail(live_request& item, bool may_have_run, const char* step,
+                       const std::string& detail);
+    [[nodiscard]] bool may_retry(live_request& item, bool may_have_run);
+    void fail(live_request& item, const char* step, const std::string& detail);
+    void answer_own(live_request& item, int status, std::string text, duration retry_after = {});
+    void release(live_request& item);
+    void end(live_request& item, std::string_view outcome, int status);
     void leave(std::uint64_t request);
-    void check_silence(live& item, instant now);
-    void expire(live& item);
-    live* find_attempt(std::uint64_t attempt);
-    void log_attempt(const live& item, std::string_view outcome, std::string_view step,
+    void check_silence(live_request& item, instant now);
+    void expire(live_request& item);
+    live_request* find_attempt(std::uint64_t attempt);
+    void log_attempt(const live_request& item, std::string_view outcome, std::string_view step,
                      std::string_view detail) const;
 
     caller_links& callers;
@@ -96,7 +95,7 @@
     router_config_ptr config;
     fleet_retry_settings budget_settings;
     std::size_t vms = 1;
-    std::unordered_map<std::uint64_t, std::unique_ptr<live>> requests;
+    std::unordered_map<std::uint64_t, std::unique_ptr<live_request>> requests;
     std::map<service_id, fleet_retry_budget> budgets;
     std::vector<std::uint64_t> over;      ///< erased in the tick
     std::vector<std::uint64_t> too_early; ///< wait for the first configuration
--- a/test/performance/path.cpp
+++ b/test/performance/path.cpp
@@ -4,40 +4,15 @@
  * stream, and thousands of streams at once with every answer checked.
  */
 #include <chrono>
-#include <fstream>
-#include <sstream>
 #include <thread>
 
-#include <unistd.h>
-
 #include "support/figure.h"
 #include "support/fleet.h"
 
 namespace {
 
-/** User and system time of a process so far, in seconds. */
-double cpu_seconds(pid_t process)
-{
-    std::ifstream file("/proc/" + std::to_string(process) + "/stat");
-    std::string line;
-    std::getline(file, line);
-    std::istringstream fields(line.substr(line.rfind(')') + 2));
-    std::string word;
-    double ticks = 0;
-    for (int i = 3; fields >> word; ++i) {
-        if (i == 14 || i == 15) ticks += std::stod(word);
-    }
-    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
-double resident_kb(pid_t process)
-{
-    std::ifstream file("/proc/" + std::to_string(process) + "/status");
-    for (std::string line; std::getline(file, line);) {
-        if (line.starts_with("VmRSS:")) return std::stod(line.substr(6));
-    }
-    return 0;
-}
+using support::cpu_seconds;
+using support::resident_kb;
 
 double total(const support::fleet& fleet, double (*measure)(pid_t))
 {
--- a/test/performance/router.cpp
+++ b/test/performance/router.cpp
@@ -2,11 +2,6 @@
  * What a router costs: processor time for each event of a stream and memory for each stream under a
  * steady load through one router, and what fleets of several sizes spend on themselves while idle.
  */
-#include <fstream>
-#include <sstream>
-
-#include <unistd.h>
-
 #include "support/figure.h"
 #include "support/router_fleet.h"
 
@@ -19,32 +14,6 @@
 constexpr unsigned events_per_stream = 200;
 constexpr duration event_period = milliseconds(20);
 
-/** User and system time of a process so far, in seconds. */
-double cpu_seconds(pid_t process)
-{
-    std::ifstream file("/proc/" + std::to_string(process) + "/stat");
-    std::string line;
-    std::getline(file, line);
-    std::istringstream fields(line.substr(line.rfind(')') + 2));
-    std::string word;
-    double ticks = 0;
-    constexpr int user_field = 14;
-    constexpr int system_field = 15;
-    for (int i = 3; fields >> word; ++i) {
-        if (i == user_field || i == system_field) ticks += std::stod(word);
-    }
-    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
-double resident_kb(pid_t process)
-{
-    std::ifstream file("/proc/" + std::to_string(process) + "/status");
-    for (std::string line; std::getline(file, line);) {
-        if (line.starts_with("VmRSS:")) return std::stod(line.substr(6));
-    }
-    return 0;
-}
-
 double counter(const std::string& text, const std::string& name)
 {
     const std::size_t at = text.find("\n" + name + " ");
--- a/test/support/figure.h
+++ b/test/support/figure.h
@@ -7,9 +7,11 @@
 #include <cmath>
 #include <cstdio>
 #include <fstream>
+#include <sstream>
 #include <string>
 #include <vector>
 
+#include <sys/types.h>
 #include <unistd.h>
 
 namespace support {
@@ -24,6 +26,33 @@
     return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1024;
 }
 
+/** User and system time of a process so far, in seconds. */
+inline double cpu_seconds(pid_t process)
+{
+    std::ifstream file("/proc/" + std::to_string(process) + "/stat");
+    std::string line;
+    std::getline(file, line);
+    std::istringstream fields(line.substr(line.rfind(')') + 2));
+    std::string word;
+    double ticks = 0;
+    constexpr int user_field = 14;
+    constexpr int system_field = 15;
+    for (int i = 3; fields >> word; ++i) {
+        if (i == user_field || i == system_field) ticks += std::stod(word);
+    }
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+/** Memory of a process that is resident, in KiB. */
+inline double resident_kb(pid_t process)
+{
+    std::ifstream file("/proc/" + std::to_string(process) + "/status");
+    for (std::string line; std::getline(file, line);) {
+        if (line.starts_with("VmRSS:")) return std::stod(line.substr(6));
+    }
+    return 0;
+}
+
 /** The value below which the share of the values lies; 0 without any. */
 inline double percentile(std::vector<double> values, double share)
 {
