One copy of the sources of settings, socket addresses, file limit and random numbers

Change: given_options, process, to_socket_address; the fleet of gates uses http_wire's list of headers.

--- a/src/caller_links.cpp
+++ b/src/caller_links.cpp
@@ -5,7 +5,6 @@
 #include <cstdio>
 #include <cstring>
 
-#include <arpa/inet.h>
 #include <sys/socket.h>
 
 #include "errors.h"
@@ -56,10 +55,7 @@
 
 caller_links::caller_links(event_base* base, const link_address& listen) : base(base)
 {
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_port = htons(listen.port);
-    inet_pton(AF_INET, listen.address.c_str(), &at.sin_addr);
+    const sockaddr_in at = to_socket_address(listen);
     const auto accepted = [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
         static_cast<caller_links*>(self)->accept(socket);
     };
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -1,13 +1,11 @@
 #include "daemon.h"
 
 #include <csignal>
-#include <random>
 #include <sstream>
 
-#include <sys/resource.h>
-
 #include "admin_api.h"
 #include "placement.h"
+#include "process.h"
 
 namespace worksshift {
 
@@ -40,27 +38,12 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since).count());
 }
 
-std::uint64_t random_number()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32U) | device();
-}
-
 member_update describe_self(const settings& options)
 {
     return {options.vm,        options.data_centre, options.link.address,
             options.link.port, first_incarnation(), member_state::alive};
 }
 
-/** Many callers hold idle connections: the soft limit of open files is raised to the hard one. */
-void raise_file_limit()
-{
-    rlimit limit{};
-    if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
-    limit.rlim_cur = limit.rlim_max;
-    setrlimit(RLIMIT_NOFILE, &limit);
-}
-
 } // namespace
 
 daemon::daemon(const settings& given)
--- a/src/fleet_gossip.cpp
+++ b/src/fleet_gossip.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <random>
 #include <sstream>
 
 #include <arpa/inet.h>
@@ -13,6 +12,7 @@
 
 #include "errors.h"
 #include "log.h"
+#include "process.h"
 
 namespace worksshift {
 
@@ -39,12 +39,6 @@
     return made;
 }
 
-std::uint64_t random_number()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32U) | device();
-}
-
 } // namespace
 
 fleet_gossip::fleet_gossip(event_base* base, const link_address& listen,
--- /dev/null
+++ b/src/given_options.cpp
@@ -0,0 +1,67 @@
+#include "given_options.h"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+#include "errors.h"
+
+namespace worksshift {
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr std::string_view environment_prefix = "WORKSSHIFT_";
+constexpr const char* file_option = "config";
+
+/** The option that an environment variable sets; empty when there is none. */
+std::string option_of(const std::string& variable, const options::options_description& all)
+{
+    if (!variable.starts_with(environment_prefix)) return {};
+    std::string name = variable.substr(environment_prefix.size());
+    std::ranges::transform(name, name.begin(), [](unsigned char character) {
+        return character == '_' ? '-' : static_cast<char>(std::tolower(character));
+    });
+    const bool known = !name.empty() && all.find_nothrow(name, false) != nullptr;
+    return known ? name : std::string();
+}
+
+void read_file(const std::string& path, const options::options_description& all,
+               options::variables_map& values)
+{
+    std::ifstream file(path);
+    if (!file) {
+        throw user_error("settings", "", std::string(file_option) + "=" + path + " cannot be read");
+    }
+    options::store(options::parse_config_file(file, all), values);
+}
+
+} // namespace
+
+given_options read_options(const options::options_description& all, int count,
+                           const char* const* arguments)
+{
+    given_options given;
+    try {
+        constexpr int style = options::command_line_style::default_style &
+                              ~options::command_line_style::allow_guessing;
+        options::store(options::parse_command_line(count, arguments, all, style), given.values);
+        const auto known = [&](const std::string& variable) { return option_of(variable, all); };
+        options::store(options::parse_environment(all, known), given.values);
+        if (given.values.count(file_option) > 0) {
+            given.file = given.values[file_option].as<std::string>();
+            read_file(given.file, all, given.values);
+        }
+    } catch (const options::error& fault) {
+        throw user_error("settings", "", fault.what());
+    }
+    given.help = given.values.count("help") > 0;
+    given.check_only = given.values.count("check") > 0;
+    std::ostringstream text;
+    text << all;
+    given.help_text = text.str();
+    return given;
+}
+
+} // namespace worksshift
--- a/src/gossip_socket.cpp
+++ b/src/gossip_socket.cpp
@@ -14,15 +14,6 @@
 
 constexpr std::uint32_t percent = 100;
 
-sockaddr_in to_sockaddr(const std::string& address, std::uint16_t port)
-{
-    sockaddr_in target{};
-    target.sin_family = AF_INET;
-    target.sin_port = htons(port);
-    inet_pton(AF_INET, address.c_str(), &target.sin_addr);
-    return target;
-}
-
 } // namespace
 
 gossip_socket::gossip_socket(event_base* base, const link_address& listen, authenticator& keys,
@@ -30,7 +21,7 @@
     : socket(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0)), keys(keys),
       loss_percent(loss_percent)
 {
-    const sockaddr_in own = to_sockaddr(listen.address, listen.port);
+    const sockaddr_in own = to_socket_address(listen);
     if (bind(this->socket, reinterpret_cast<const sockaddr*>(&own), sizeof own) != 0) {
         throw user_error("listen", listen.address + ":" + std::to_string(listen.port),
                          "the gossip port cannot be opened");
@@ -78,7 +69,7 @@
     this->counts.bytes_sent += bytes->size();
     ++this->counts.datagrams_sent;
     if (this->random() % percent < this->loss_percent) return;
-    const sockaddr_in target = to_sockaddr(datagram.address, datagram.port);
+    const sockaddr_in target = to_socket_address({datagram.address, datagram.port});
     sendto(this->socket, bytes->data(), bytes->size(), MSG_DONTWAIT,
            reinterpret_cast<const sockaddr*>(&target), sizeof target);
 }
--- a/src/link_address.cpp
+++ b/src/link_address.cpp
@@ -13,6 +13,17 @@
     return from.address + ":" + std::to_string(from.port);
 }
 
+sockaddr_in to_socket_address(const link_address& from)
+{
+    sockaddr_in made{};
+    made.sin_family = AF_INET;
+    made.sin_port = htons(from.port);
+    if (inet_pton(AF_INET, from.address.c_str(), &made.sin_addr) != 1) {
+        throw user_error("listen", from.address, "not an IPv4 number: " + from.address);
+    }
+    return made;
+}
+
 link_address parse_address(std::string_view name, std::string_view text)
 {
     const auto fail = [&] {
--- a/src/link_address.h
+++ b/src/link_address.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <string_view>
 
+#include <netinet/in.h>
+
 namespace worksshift {
 
 /** Where a VM listens. */
@@ -18,6 +20,9 @@
 /** `ADDRESS:PORT`. */
 std::string to_string(const link_address& from);
 
+/** For the system's socket calls. */
+sockaddr_in to_socket_address(const link_address& from);
+
 /** Parses `ADDRESS:PORT`. \throws user_error naming \p name. */
 link_address parse_address(std::string_view name, std::string_view text);
 
--- a/src/link_hub.cpp
+++ b/src/link_hub.cpp
@@ -14,17 +14,6 @@
 constexpr duration dial_timeout = seconds(2);
 constexpr std::size_t backlog_bytes_at_most = std::size_t{64} << 20U;
 
-sockaddr_in to_sockaddr(const link_address& address)
-{
-    sockaddr_in target{};
-    target.sin_family = AF_INET;
-    target.sin_port = htons(address.port);
-    if (inet_pton(AF_INET, address.address.c_str(), &target.sin_addr) != 1) {
-        throw user_error("listen", address.address, "not an IPv4 number: " + address.address);
-    }
-    return target;
-}
-
 bool is_control(const link_message& message)
 {
     return std::visit(
@@ -65,7 +54,7 @@
 link_hub::link_hub(event_base* base, vm_id self, const link_address& listen, authenticator& keys)
     : base(base), self(std::move(self)), keys(keys)
 {
-    const sockaddr_in target = to_sockaddr(listen);
+    const sockaddr_in target = to_socket_address(listen);
     const auto accepted = [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* hub) {
         static_cast<link_hub*>(hub)->accept(socket);
     };
@@ -108,7 +97,7 @@
     item.peer = to;
     item.dialled = true;
     this->outgoing[to] = &item;
-    const sockaddr_in target = to_sockaddr(address);
+    const sockaddr_in target = to_socket_address(address);
     if (bufferevent_socket_connect(socket, reinterpret_cast<const sockaddr*>(&target),
                                    sizeof target) != 0) {
         item.closed = true;
--- a/src/live_request.h
+++ b/src/live_request.h
@@ -38,8 +38,7 @@
     instant last_byte{};  ///< of the attempt, or when it was sent
 
     http_head answer;
-    bool answered = false; ///< the attempt's head has come
-    bool refused = false;  ///< the attempt's answer states that it did not run
+    bool refused = false; ///< the attempt's answer states that it did not run
     bool streaming = false;
     bool unusable = false; ///< the answer cannot go on behind what the caller has
     bool begun = false;    ///< the caller has the head
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -152,7 +152,6 @@
     item.where = where;
     item.loads_age = time - this->table.peers_summed_at;
     item.last_byte = time;
-    item.answered = false;
     item.refused = false;
     item.tried.push_back(row.record.id);
     if (row.in_flight++ == 0) row.waited_from = time;
@@ -190,7 +189,6 @@
 {
     live_request* item = this->find_attempt(attempt);
     if (item == nullptr) return;
-    item->answered = true;
     item->last_byte = now();
     item->row->heard_at = item->last_byte;
     item->refused = facts.not_executed || head.status == misdirected;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -4,9 +4,8 @@
 #include <fstream>
 #include <sstream>
 
-#include <sys/resource.h>
-
 #include "errors.h"
+#include "process.h"
 
 namespace worksshift {
 
@@ -53,14 +52,6 @@
     return text.str();
 }
 
-void raise_file_limit()
-{
-    rlimit limit{};
-    if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
-    limit.rlim_cur = limit.rlim_max;
-    setrlimit(RLIMIT_NOFILE, &limit);
-}
-
 void reply(evhttp_request* request, int status, std::string_view body)
 {
     evbuffer* out = evhttp_request_get_output_buffer(request);
--- a/src/router_settings.cpp
+++ b/src/router_settings.cpp
@@ -1,10 +1,9 @@
 #include "router_settings.h"
 
 #include <charconv>
-#include <fstream>
 #include <sstream>
 
-#include <boost/program_options.hpp>
+#include "given_options.h"
 
 namespace worksshift {
 
@@ -12,8 +11,6 @@
 
 namespace options = boost::program_options;
 
-constexpr std::string_view environment_prefix = "WORKSSHIFT_";
-
 options::options_description describe()
 {
     const auto text = [] { return options::value<std::string>(); };
@@ -43,16 +40,6 @@
     return all;
 }
 
-std::string environment_name(const std::string& variable)
-{
-    if (!variable.starts_with(environment_prefix)) return {};
-    std::string name = variable.substr(environment_prefix.size());
-    std::ranges::transform(name, name.begin(), [](char character) {
-        return character == '_' ? '-' : static_cast<char>(std::tolower(character));
-    });
-    return name;
-}
-
 /** The values that were given, by name. */
 class given_values {
 public:
@@ -139,46 +126,17 @@
     return result;
 }
 
-void read_file(const std::string& path, const options::options_description& all,
-               options::variables_map& values)
-{
-    std::ifstream file(path);
-    if (!file) throw user_error("settings", "", "config=" + path + " cannot be read");
-    options::store(options::parse_config_file(file, all), values);
-}
-
 } // namespace
 
 router_settings parse_router_settings(int count, const char* const* arguments)
 {
-    const options::options_description all = describe();
-    options::variables_map values;
-    std::string file;
-    try {
-        constexpr int style = options::command_line_style::default_style &
-                              ~options::command_line_style::allow_guessing;
-        options::store(options::parse_command_line(count, arguments, all, style), values);
-        const auto known = [&](const std::string& variable) {
-            const std::string name = environment_name(variable);
-            const bool found = !name.empty() && all.find_nothrow(name, false) != nullptr;
-            return found ? name : std::string();
-        };
-        options::store(options::parse_environment(all, known), values);
-        if (values.count("config") > 0) {
-            file = values["config"].as<std::string>();
-            read_file(file, all, values);
-        }
-    } catch (const options::error& fault) {
-        throw user_error("settings", "", fault.what());
-    }
+    const given_options given = read_options(describe(), count, arguments);
     router_settings result;
-    if (values.count("help") == 0) result = read(values);
-    result.file = file;
-    result.help = values.count("help") > 0;
-    result.check_only = values.count("check") > 0;
-    std::ostringstream text;
-    text << all;
-    result.help_text = text.str();
+    if (!given.help) result = read(given.values);
+    result.file = given.file;
+    result.help = given.help;
+    result.check_only = given.check_only;
+    result.help_text = given.help_text;
     return result;
 }
 
--- a/src/server_calls.cpp
+++ b/src/server_calls.cpp
@@ -1,13 +1,11 @@
 #include "server_calls.h"
 
-#include <algorithm>
-#include <array>
-
 #include <event2/http_struct.h>
 #include <strings.h>
 
 #include "answer_relay.h"
 #include "http_call.h"
+#include "http_wire.h"
 
 namespace worksshift {
 
@@ -32,15 +30,6 @@
     return EVHTTP_REQ_POST;
 }
 
-/** Headers that belong to one connection and are not passed on. */
-bool is_hop_header(const std::string& name)
-{
-    constexpr std::array hop_headers{
-        "connection", "keep-alive", "transfer-encoding", "te", "upgrade", "trailer", "host"};
-    return std::ranges::any_of(
-        hop_headers, [&](const char* item) { return strcasecmp(item, name.c_str()) == 0; });
-}
-
 } // namespace
 
 /** One call of a server. */
@@ -97,7 +86,7 @@
     evkeyvalq* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Host", item.order.server.address.c_str());
     for (const header& extra : open.headers) {
-        if (!is_hop_header(extra.name)) {
+        if (!is_hop_header(extra.name) && !same_name(extra.name, "host")) {
             evhttp_add_header(headers, extra.name.c_str(), extra.value.c_str());
         }
     }
--- a/src/server_health.h
+++ b/src/server_health.h
@@ -30,7 +30,6 @@
     {
         return !this->paused || (now >= this->until && !this->trial);
     }
-    [[nodiscard]] bool is_paused() const { return this->paused; }
 
     void on_sent(instant now)
     {
--- a/src/server_links.cpp
+++ b/src/server_links.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cstring>
 
-#include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -21,15 +20,6 @@
     return std::chrono::steady_clock::now();
 }
 
-sockaddr_in to_socket_address(const link_address& from)
-{
-    sockaddr_in made{};
-    made.sin_family = AF_INET;
-    made.sin_port = htons(from.port);
-    inet_pton(AF_INET, from.address.c_str(), &made.sin_addr);
-    return made;
-}
-
 void give_up_on_silence(evutil_socket_t socket)
 {
     const auto span = std::chrono::duration_cast<milliseconds>(unacknowledged_timeout).count();
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -4,7 +4,7 @@
 #include <charconv>
 #include <sstream>
 
-#include <boost/program_options.hpp>
+#include "given_options.h"
 
 namespace worksshift {
 
@@ -63,17 +63,6 @@
      [](settings& s, std::uint32_t v) { s.datagram_loss_percent = v; }},
 };
 
-std::string environment_name(std::string_view variable)
-{
-    constexpr std::string_view prefix = "WORKSSHIFT_";
-    if (!variable.starts_with(prefix)) return {};
-    std::string name(variable.substr(prefix.size()));
-    std::ranges::transform(name, name.begin(), [](unsigned char character) {
-        return character == '_' ? '-' : static_cast<char>(std::tolower(character));
-    });
-    return name;
-}
-
 options::options_description describe()
 {
     options::options_description all("worksshiftd: one router of the fleet");
@@ -178,32 +167,12 @@
 
 settings parse_settings(int count, const char* const* arguments)
 {
-    const options::options_description all = describe();
-    options::variables_map values;
-    try {
-        constexpr int style = options::command_line_style::default_style &
-                              ~options::command_line_style::allow_guessing;
-        options::store(options::parse_command_line(count, arguments, all, style), values);
-        options::store(options::parse_environment(all,
-                                                  [&](const std::string& variable) {
-                                                      const std::string name =
-                                                          environment_name(variable);
-                                                      const bool known =
-                                                          !name.empty() &&
-                                                          all.find_nothrow(name, false) != nullptr;
-                                                      return known ? name : std::string();
-                                                  }),
-                       values);
-    } catch (const options::error& fault) {
-        throw user_error("settings", "", fault.what());
-    }
+    const given_options given = read_options(describe(), count, arguments);
     settings result;
-    if (values.count("help") == 0) result = read(values);
-    result.help = values.count("help") > 0;
-    result.check_only = values.count("check") > 0;
-    std::ostringstream text;
-    text << all;
-    result.help_text = text.str();
+    if (!given.help) result = read(given.values);
+    result.help = given.help;
+    result.check_only = given.check_only;
+    result.help_text = given.help_text;
     return result;
 }
 
--- a/test/support/path_rig.cpp
+++ b/test/support/path_rig.cpp
@@ -155,8 +155,7 @@
         },
         this);
     bufferevent_enable(this->socket.get(), EV_READ | EV_WRITE);
-    sockaddr_in at = loopback(to.port);
-    inet_pton(AF_INET, to.address.c_str(), &at.sin_addr);
+    const sockaddr_in at = to_socket_address(to);
     bufferevent_socket_connect(this->socket.get(), reinterpret_cast<const sockaddr*>(&at),
                                sizeof at);
 }
