--- /dev/null
+++ b/src/config_follower.cpp
@@ -0,0 +1,129 @@
+#include "config_follower.h"
+
+#include <algorithm>
+
+#include "errors.h"
+#include "log.h"
+#include "packed_text.h"
+
+namespace worksshift {
+
+namespace {
+
+constexpr int ok = 200;
+constexpr int unavailable = 503;
+
+} // namespace
+
+const fleet_vm* choose_newest(const fleet_table& fleet, instant now, std::minstd_rand& random,
+                              std::uint64_t own,
+                              const std::function<std::uint64_t(const fleet_vm&)>& revision_of)
+{
+    std::vector<const fleet_vm*> ahead = fleet.heard(now);
+    std::erase_if(ahead, [&](const fleet_vm* item) { return revision_of(*item) <= own; });
+    const auto near_end = std::ranges::partition(ahead, [&](const fleet_vm* item) {
+                              return fleet.is_near(*item);
+                          }).begin();
+    if (near_end != ahead.begin()) ahead.erase(near_end, ahead.end());
+    std::ranges::shuffle(ahead, random);
+    const auto newest = std::ranges::max_element(
+        ahead, {}, [&](const fleet_vm* item) { return revision_of(*item); });
+    return newest == ahead.end() ? nullptr : *newest;
+}
+
+config_follower::config_follower(event_base* base, http_caller& caller, const link_address& store,
+                                 const protocol& dialect, fleet_gossip& gossip)
+    : caller(caller), dialect(dialect), gossip(gossip),
+      watch(base, caller, store, dialect, object_kind::configuration)
+{
+    this->watch.on_list.connect([this](const std::vector<stored_object>& all) {
+        for (const stored_object& item : all)
+            this->take(item.document, "store");
+    });
+    this->watch.on_change.connect([this](const stored_object& item) {
+        if (!item.removed) this->take(item.document, "store");
+    });
+}
+
+std::uint64_t config_follower::version() const
+{
+    return this->current == nullptr ? 0 : this->current->version;
+}
+
+void config_follower::take(const std::string& document, std::string_view source)
+{
+    try {
+        const std::shared_ptr<router_config> made = this->dialect.decode_config(document);
+        const std::uint64_t before = this->version();
+        const bool newer = made->version > before;
+        log_event(log_level::info, "config_received",
+                  {{"source", source},
+                   {"version", made->version},
+                   {"in_force", before},
+                   {"bytes", document.size()},
+                   {"outcome", newer ? "in_force" : "ignored"}});
+        if (!newer) return;
+        this->current = made;
+        this->packed = pack(document);
+        this->gossip.hasten();
+        this->on_config.emit();
+    } catch (const error& fault) {
+        log_event(log_level::error, "config_unreadable",
+                  {{"source", source}, {"step", fault.step}, {"reason", fault.what()}});
+    }
+}
+
+void config_follower::take_digest(const fleet_vm& from, instant now)
+{
+    const std::uint64_t told = from.last.config_version;
+    if (told <= std::max(this->version(), this->newest_heard)) return;
+    if (this->newest_heard <= this->version()) this->newer_since = now;
+    this->newest_heard = told;
+}
+
+void config_follower::tick(instant now, bool watching)
+{
+    const bool behind = this->newest_heard > this->version();
+    const bool late = behind && now - this->newer_since > peers_tell_within;
+    this->watch.set_active(watching || late || this->current == nullptr);
+    const bool by_store = this->watch.follows() || this->current == nullptr;
+    const duration patience = by_store ? store_tells_within : duration::zero();
+    if (behind && !this->asking && now - this->newer_since >= patience) this->ask_peer(now);
+}
+
+void config_follower::ask_peer(instant now)
+{
+    const fleet_vm* holder =
+        choose_newest(this->gossip.fleet(), now, this->random, this->version(),
+                      [](const fleet_vm& item) { return item.last.config_version; });
+    if (holder == nullptr) return;
+    this->asking = true;
+    const link_address from = this->gossip.address_of(*holder);
+    this->caller.call(from, EVHTTP_REQ_GET, config_path, {}, {}, peer_call_timeout,
+                      [this, from](const http_response& response) {
+                          this->asking = false;
+                          if (response.status != ok) {
+                              log_event(log_level::warn, "config_not_fetched",
+                                        {{"peer", from.address}, {"status", response.status}});
+                              return;
+                          }
+                          try {
+                              this->take(unpack(response.body, from.address), from.address);
+                          } catch (const error& fault) {
+                              log_event(log_level::error, "config_unreadable",
+                                        {{"source", from.address},
+                                         {"step", fault.step},
+                                         {"reason", fault.what()}});
+                          }
+                      });
+}
+
+void config_follower::serve(evhttp_request* request) const
+{
+    const bool have = this->current != nullptr;
+    evbuffer_add(evhttp_request_get_output_buffer(request), this->packed.data(),
+                 this->packed.size());
+    evhttp_send_reply(request, have ? ok : unavailable, nullptr, nullptr);
+}
+
+} // namespace worksshift
--- /dev/null
+++ b/src/fleet_digest.cpp
@@ -0,0 +1,108 @@
+#include "fleet_digest.h"
+
+#include <limits>
+#include <sstream>
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include "errors.h"
+
+namespace worksshift {
+
+namespace {
+
+constexpr std::uint8_t known_format = fleet_digest{}.format;
+
+/** A vector with a count of one byte; what is beyond that is left out. */
+template <class Item>
+void save_items(cereal::PortableBinaryOutputArchive& archive, const std::vector<Item>& items)
+{
+    constexpr std::size_t most = std::numeric_limits<std::uint8_t>::max();
+    const std::size_t count = std::min(items.size(), most);
+    archive(static_cast<std::uint8_t>(count));
+    for (std::size_t i = 0; i < count; ++i)
+        archive(items[i]);
+}
+
+template <class Item>
+void load_items(cereal::PortableBinaryInputArchive& archive, std::vector<Item>& items)
+{
+    std::uint8_t count = 0;
+    archive(count);
+    items.resize(count);
+    for (Item& item : items)
+        archive(item);
+}
+
+} // namespace
+
+template <class Archive>
+void serialize(Archive& archive, load_entry& item)
+{
+    archive(item.server, item.requests);
+}
+
+template <class Archive>
+void serialize(Archive& archive, vm_rumour& item)
+{
+    archive(item.address, item.data_centre, item.age);
+}
+
+template <class Archive>
+void save(Archive& archive, const load_part& item)
+{
+    archive(item.part, item.parts);
+    save_items(archive, item.entries);
+}
+
+template <class Archive>
+void load(Archive& archive, load_part& item)
+{
+    archive(item.part, item.parts);
+    load_items(archive, item.entries);
+}
+
+template <class Archive>
+void save(Archive& archive, const fleet_digest& item)
+{
+    archive(item.format, item.incarnation, item.sequence, item.data_centre, item.period_ms,
+            item.config_version, item.servers_revision, item.store_back, item.watches_store,
+            item.leaving, item.young, item.own_loads, item.centre_loads, item.distant_loads);
+    save_items(archive, item.vms);
+}
+
+template <class Archive>
+void load(Archive& archive, fleet_digest& item)
+{
+    archive(item.format);
+    if (item.format != known_format) throw peer_error("digest", "", "another format");
+    archive(item.incarnation, item.sequence, item.data_centre, item.period_ms, item.config_version,
+            item.servers_revision, item.store_back, item.watches_store, item.leaving, item.young,
+            item.own_loads, item.centre_loads, item.distant_loads);
+    load_items(archive, item.vms);
+}
+
+std::string encode(const fleet_digest& digest)
+{
+    std::ostringstream stream;
+    {
+        cereal::PortableBinaryOutputArchive archive(stream);
+        archive(digest);
+    }
+    return stream.str();
+}
+
+fleet_digest decode_digest(std::string_view bytes, const std::string& peer)
+{
+    try {
+        std::istringstream stream{std::string(bytes)};
+        cereal::PortableBinaryInputArchive archive(stream);
+        fleet_digest digest;
+        archive(digest);
+        return digest;
+    } catch (const std::exception& fault) {
+        throw peer_error("digest", peer, fault.what());
+    }
+}
+
+} // namespace worksshift
--- /dev/null
+++ b/src/fleet_digest.h
@@ -0,0 +1,70 @@
+/** \file
+ * What one VM tells another of itself, in one datagram: which versions it has in force, whether it
+ * follows the store, which VMs it knows to live, and a part of a table of loads.
+ *
+ * Counts are one byte each and ids four, since a fleet sends thousands of these a second.
+ */
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace worksshift {
+
+/** Requests under way at one server. */
+struct load_entry {
+    std::uint32_t server = 0; ///< low half of the hash of its id
+    std::uint16_t requests = 0;
+
+    bool operator==(const load_entry&) const = default;
+};
+
+/** Entries at most in one datagram, so that it fits into one packet. */
+constexpr std::size_t load_entries_at_most = 96;
+
+/** A part of a table of loads: all servers whose id leaves the remainder `part` when divided by
+ * `parts`, and any others that are busy. A server of that remainder that is not named is idle. */
+struct load_part {
+    std::uint8_t part = 0;
+    std::uint8_t parts = 0; ///< 0: nothing is said of any server but those named
+    std::vector<load_entry> entries;
+
+    [[nodiscard]] bool covers(std::uint32_t server) const
+    {
+        return this->parts > 0 && server % this->parts == this->part;
+    }
+};
+
+/** A VM that somebody heard. */
+struct vm_rumour {
+    std::uint32_t address = 0;     ///< IPv4, host order
+    std::uint32_t data_centre = 0; ///< low half of the hash of its name
+    std::uint8_t age = 0;          ///< since it was heard, in tenths of a second
+};
+
+/** State of one VM, as it tells it itself. */
+struct fleet_digest {
+    std::uint8_t format = 2;
+    std::uint32_t incarnation = 0; ///< random for each start of the process
+    std::uint32_t sequence = 0;
+    std::uint32_t data_centre = 0;
+    std::uint16_t period_ms = 0; ///< until the sender's next digest
+    std::uint64_t config_version = 0;
+    std::uint64_t servers_revision = 0; ///< of the newest change of the registry that it knows
+    std::uint16_t store_back = 0;       ///< hundredths of a second since the store came back to it
+    bool watches_store = false;         ///< asks the store for changes, which answers it
+    bool leaving = false;
+    bool young = false;      ///< knows few VMs yet: whoever hears it should answer
+    load_part own_loads;     ///< requests of the sender
+    load_part centre_loads;  ///< requests of all VMs of the sender's data centre
+    load_part distant_loads; ///< requests of the other data centres, as the sender was told
+    std::vector<vm_rumour> vms;
+};
+
+std::string encode(const fleet_digest& digest);
+/** \throws peer_error when the bytes are not a digest of this format. */
+fleet_digest decode_digest(std::string_view bytes, const std::string& peer);
+
+} // namespace worksshift
--- /dev/null
+++ b/src/fleet_table.cpp
@@ -0,0 +1,140 @@
+#include "fleet_table.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace worksshift {
+
+namespace {
+
+constexpr duration age_unit = milliseconds(100);
+
+/** Rounded up: rounded down, a rumour that is passed on again and again would never age. */
+std::uint8_t to_age(duration span)
+{
+    constexpr std::int64_t most = std::numeric_limits<std::uint8_t>::max();
+    return static_cast<std::uint8_t>(std::clamp<std::int64_t>(span / age_unit + 1, 0, most));
+}
+
+} // namespace
+
+fleet_table::fleet_table(const identity& self, std::span<const std::uint32_t> given, instant now)
+    : own(self), seeds(given.begin(), given.end()), started(now), heard_any_at(now)
+{
+    for (const std::uint32_t seed : this->seeds)
+        this->learn(seed, 0, instant{}, now);
+}
+
+void fleet_table::learn(std::uint32_t address, std::uint32_t data_centre, instant alive,
+                        instant now)
+{
+    if (address == 0 || address == this->own.address) return;
+    const auto [found, added] = this->table.try_emplace(address);
+    fleet_vm& item = found->second;
+    if (added) {
+        item.address = address;
+        item.known_since = now;
+    }
+    if (data_centre != 0) item.data_centre = data_centre;
+    item.alive_at = std::max(item.alive_at, alive);
+}
+
+const fleet_vm* fleet_table::take(std::uint32_t from, fleet_digest digest, instant now)
+{
+    this->learn(from, digest.data_centre, now, now);
+    const auto found = this->table.find(from);
+    if (found == this->table.end()) return nullptr;
+    fleet_vm& item = found->second;
+    const bool same_life = item.last.incarnation == digest.incarnation;
+    if (same_life && digest.sequence <= item.last.sequence) return nullptr;
+    if (!same_life) {
+        item.own_loads = {};
+        item.centre_loads = {};
+        item.distant_loads = {};
+    }
+    item.heard_at = now;
+    this->heard_any_at = now;
+    item.to_answer = digest.young;
+    for (const vm_rumour& rumour : digest.vms)
+        this->learn(rumour.address, rumour.data_centre, now - rumour.age * age_unit, now);
+    item.own_loads.take(std::exchange(digest.own_loads, {}));
+    item.centre_loads.take(std::exchange(digest.centre_loads, {}));
+    item.distant_loads.take(std::exchange(digest.distant_loads, {}));
+    item.last = std::move(digest);
+    return &item;
+}
+
+void fleet_table::forget_dead(instant now)
+{
+    std::erase_if(this->table, [&](const auto& entry) {
+        const instant last = std::max(entry.second.alive_at, entry.second.known_since);
+        return now - last > forget_after &&
+               std::ranges::find(this->seeds, entry.first) == this->seeds.end();
+    });
+}
+
+bool fleet_table::is_near(const fleet_vm& item) const
+{
+    return item.data_centre == this->own.data_centre || this->table.size() < small_fleet;
+}
+
+bool fleet_table::is_heard(const fleet_vm& item, instant now)
+{
+    const duration limit = std::max<duration>(
+        milliseconds(item.last.period_ms) * periods_until_silent, silent_after_at_least);
+    return item.heard_at != instant{} && now - item.heard_at <= limit;
+}
+
+bool fleet_table::is_alive(const fleet_vm& item, instant now) const
+{
+    if (this->is_near(item)) return this->is_heard(item, now);
+    return item.alive_at != instant{} && now - item.alive_at <= distant_alive_for;
+}
+
+std::vector<const fleet_vm*> fleet_table::near(instant now) const
+{
+    std::vector<const fleet_vm*> found;
+    for (const auto& [address, item] : this->table) {
+        if (this->is_near(item) && this->is_heard(item, now)) found.push_back(&item);
+    }
+    return found;
+}
+
+std::vector<const fleet_vm*> fleet_table::heard(instant now) const
+{
+    std::vector<const fleet_vm*> found;
+    for (const auto& [address, item] : this->table) {
+        if (this->is_heard(item, now)) found.push_back(&item);
+    }
+    return found;
+}
+
+std::size_t fleet_table::alive(instant now) const
+{
+    const auto others = std::ranges::count_if(
+        this->table, [&](const auto& entry) { return this->is_alive(entry.second, now); });
+    return static_cast<std::size_t>(others) + 1;
+}
+
+bool fleet_table::is_young(instant now) const
+{
+    return now - this->started < young_for || now - this->heard_any_at > young_for;
+}
+
+std::vector<vm_rumour> fleet_table::rumours(std::size_t count, instant now)
+{
+    std::vector<vm_rumour> told;
+    auto next = this->table.upper_bound(this->told_last);
+    for (std::size_t seen = 0; seen < this->table.size() && told.size() < count; ++seen) {
+        if (next == this->table.end()) next = this->table.begin();
+        const fleet_vm& item = next->second;
+        this->told_last = item.address;
+        ++next;
+        if (!this->is_alive(item, now) || item.data_centre == 0) continue;
+        told.push_back({item.address, item.data_centre, to_age(now - item.alive_at)});
+    }
+    return told;
+}
+
+} // namespace worksshift
--- /dev/null
+++ b/src/load_exchange.cpp
@@ -0,0 +1,170 @@
+#include "load_exchange.h"
+
+#include <algorithm>
+#include <bit>
+
+#include "rendezvous.h"
+
+namespace worksshift {
+
+namespace {
+
+void append(load_table& to, std::span<const load_entry> from)
+{
+    to.insert(to.end(), from.begin(), from.end());
+}
+
+/** Of each server the larger of two loads; both tables are in order. */
+load_table larger_of(const load_table& left, std::span<const load_entry> right)
+{
+    load_table merged;
+    merged.reserve(left.size() + right.size());
+    std::ranges::merge(left, right, std::back_inserter(merged), {}, &load_entry::server,
+                       &load_entry::server);
+    load_table result;
+    for (const load_entry& entry : merged) {
+        if (!result.empty() && result.back().server == entry.server) {
+            result.back().requests = std::max(result.back().requests, entry.requests);
+        } else {
+            result.push_back(entry);
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+void load_exchange::set_own(load_table given, std::size_t servers,
+                            std::vector<std::uint32_t> busy_now)
+{
+    this->own = std::move(given);
+    normalize(this->own);
+    this->busy = std::move(busy_now);
+    std::ranges::sort(this->busy);
+    const std::size_t wanted = (servers + servers_per_slice - 1) / servers_per_slice;
+    this->slices = std::bit_ceil(std::clamp<std::size_t>(wanted, 1, slices_at_most));
+}
+
+std::size_t load_exchange::slice_of(std::uint32_t server) const
+{
+    return server % this->slices;
+}
+
+void load_exchange::choose_homes(instant now)
+{
+    this->own_slices.clear();
+    this->distant.clear();
+    std::map<std::uint32_t, std::vector<std::uint32_t>> by_centre;
+    const std::uint32_t here = this->fleet.self().data_centre;
+    by_centre[here].push_back(this->fleet.self().address);
+    for (const auto& [address, item] : this->fleet.vms()) {
+        if (!this->fleet.is_alive(item, now) || item.data_centre == 0) continue;
+        by_centre[this->fleet.is_near(item) ? here : item.data_centre].push_back(address);
+    }
+    if (by_centre.size() < 2) return;
+    std::map<std::size_t, std::vector<std::uint32_t>> homes_elsewhere;
+    for (std::size_t slice = 0; slice < this->slices; ++slice) {
+        for (auto& [centre, members] : by_centre) {
+            const std::size_t homes = std::min(homes_per_slice, members.size());
+            std::ranges::partial_sort(
+                members, members.begin() + static_cast<std::ptrdiff_t>(homes), std::greater{},
+                [slice](std::uint32_t address) { return rendezvous_weight(slice, address); });
+            const std::span<const std::uint32_t> chosen(members.data(), homes);
+            if (centre != here) {
+                homes_elsewhere[slice].insert(homes_elsewhere[slice].end(), chosen.begin(),
+                                              chosen.end());
+            } else if (std::ranges::find(chosen, this->fleet.self().address) != chosen.end()) {
+                this->own_slices.push_back(slice);
+            }
+        }
+    }
+    for (const std::size_t slice : this->own_slices) {
+        for (const std::uint32_t address : homes_elsewhere[slice])
+            this->distant[address].push_back(slice);
+    }
+}
+
+/** Requests of all VMs of this data centre. */
+load_table load_exchange::centre_sums(instant now) const
+{
+    load_table sums = this->own;
+    for (const fleet_vm* item : this->fleet.near(now))
+        append(sums, item->own_loads.entries());
+    normalize(sums);
+    return sums;
+}
+
+/** Requests of the other data centres that their homes sent to this VM. */
+load_table load_exchange::distant_sums(instant now) const
+{
+    const duration limit = std::max<duration>(distant_sums_for, this->period * 3);
+    std::map<std::uint32_t, load_table> by_centre;
+    for (const auto& [address, item] : this->fleet.vms()) {
+        if (this->fleet.is_near(item) || now - item.heard_at > limit) continue;
+        load_table& centre = by_centre[item.data_centre];
+        centre = larger_of(centre, item.centre_loads.entries());
+    }
+    load_table sums;
+    for (const auto& [centre, table] : by_centre)
+        append(sums, table);
+    normalize(sums);
+    return sums;
+}
+
+void load_exchange::begin_round(instant now)
+{
+    this->choose_homes(now);
+    if (this->own_slices.empty()) {
+        this->centre.clear();
+        this->elsewhere.clear();
+        return;
+    }
+    const auto other_slice = [this](const load_entry& entry) {
+        return std::ranges::find(this->own_slices, this->slice_of(entry.server)) ==
+               this->own_slices.end();
+    };
+    this->centre = this->centre_sums(now);
+    std::erase_if(this->centre, other_slice);
+    this->elsewhere = this->distant_sums(now);
+    std::erase_if(this->elsewhere, other_slice);
+}
+
+void load_exchange::describe(fleet_digest& to_near)
+{
+    to_near.own_loads = this->own_teller.next(this->own, this->busy);
+    if (!this->own_slices.empty()) {
+        to_near.distant_loads = this->distant_teller.next(this->elsewhere, this->busy);
+    }
+}
+
+std::vector<distant_message> load_exchange::to_distant()
+{
+    std::vector<distant_message> messages;
+    if (this->distant.empty()) return messages;
+    const load_part part = this->centre_teller.next(this->centre, this->busy);
+    for (const auto& [address, wanted] : this->distant) {
+        distant_message message{address, {part.part, part.parts, {}}};
+        std::ranges::copy_if(part.entries, std::back_inserter(message.centre_loads.entries),
+                             [&](const load_entry& entry) {
+                                 return std::ranges::find(wanted, this->slice_of(entry.server)) !=
+                                        wanted.end();
+                             });
+        messages.push_back(std::move(message));
+    }
+    return messages;
+}
+
+load_table load_exchange::others(instant now) const
+{
+    load_table distant_all = this->distant_sums(now);
+    load_table sums;
+    for (const fleet_vm* item : this->fleet.near(now)) {
+        append(sums, item->own_loads.entries());
+        distant_all = larger_of(distant_all, item->distant_loads.entries());
+    }
+    append(sums, distant_all);
+    normalize(sums);
+    return sums;
+}
+
+} // namespace worksshift
--- a/src/object_watch.cpp
+++ b/src/object_watch.cpp
@@ -98,7 +98,7 @@
     this->listed = true;
     const std::vector<stored_object> all = std::exchange(this->gathered, {});
     this->on_list.emit(all);
-    this->next.start_once(duration::zero());
+    this->next.start_once(after_list);
 }
 
 void object_watch::take_changes(const http_response& response)
--- a/src/object_watch.h
+++ b/src/object_watch.h
@@ -33,8 +33,13 @@
     static constexpr duration list_timeout = milliseconds(1500);
     static constexpr duration first_pause = milliseconds(150);
     static constexpr duration longest_pause = milliseconds(1200);
-    /** Between an answer and the next watch, so that changes in quick succession share a call. */
-    static constexpr duration gather = milliseconds(200);
+    /** Between an answer and the next watch, so that changes in quick succession share a call. A
+     * server that leaves must get no new work two seconds later; this is a fifth of that. */
+    static constexpr duration gather = milliseconds(400);
+    /** Between a list and the first watch. When a fleet starts, its servers register one by one,
+     * and by then it is known which VMs watch: at 80 VMs the calls of the first five seconds fell
+     * from 1,080 to 380. */
+    static constexpr duration after_list = milliseconds(500);
 
     object_watch(event_base* base, http_caller& caller, const link_address& store,
                  const protocol& dialect, object_kind kind);
--- a/src/protocol.h
+++ b/src/protocol.h
@@ -118,7 +118,6 @@
     std::unordered_map<std::string, client_account> account_of_key;
     std::map<service_id, bool> engine_services; ///< whether the service's servers are model engines
     caller_limits limits;
-    std::string document; ///< as accepted, to be passed on to other VMs
 
     /** The route of the host with the longest prefix of \p target; nullptr when there is none. */
     [[nodiscard]] const route* find(std::string_view host, std::string_view target) const;
--- a/src/registry_follower.cpp
+++ b/src/registry_follower.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <limits>
 
 #include <event2/keyvalq_struct.h>
 
+#include "config_follower.h"
 #include "errors.h"
 #include "log.h"
 
@@ -14,8 +16,8 @@
 
 constexpr const char* since_parameter = "since";
 constexpr int ok = 200;
-/** Digests tell no longer time than this. */
-constexpr std::int64_t longest_back_ms = 3'600'000;
+/** In which digests tell for how long the store has been back. */
+constexpr duration store_back_unit = milliseconds(10);
 
 } // namespace
 
@@ -48,53 +50,31 @@
         this->registry.take_change(item, time);
 }
 
-void registry_follower::tick(instant now)
+void registry_follower::tick(instant now, bool watching)
 {
-    this->choose_source(now);
+    this->watch.set_active(watching || !this->known());
     this->ask_peer(now);
     this->registry.sweep(now, this->store_regained_at(now));
 }
 
-/** The VMs of the lowest incarnations that the store answers are the ones that watch. */
-void registry_follower::choose_source(instant now)
-{
-    const auto heard = this->gossip.heard(now);
-    const duration period = std::min<duration>(this->gossip.period(), followed_period);
-    const duration limit = std::max<duration>(watcher_heard_within, period * watcher_periods);
-    const auto others = std::ranges::count_if(heard, [&](const fleet_gossip::peer* item) {
-        return item->last.watches_servers && !item->last.leaving && now - item->heard_at < limit &&
-               item->last.incarnation < this->gossip.own_incarnation();
-    });
-    if (static_cast<std::size_t>(others) < watchers_wanted) {
-        this->watched_since = instant{};
-        this->watch.set_active(true);
-    } else if (this->watched_since == instant{}) {
-        this->watched_since = now;
-    } else if (now - this->watched_since > watched_enough_for && this->known()) {
-        this->watch.set_active(false);
-    }
-}
-
 /** When the store last came back, as far as this VM or one that watches knows. */
 instant registry_follower::store_regained_at(instant now) const
 {
     instant newest = this->watch.regained_at();
-    for (const fleet_gossip::peer* item : this->gossip.heard(now)) {
-        if (!item->last.watches_servers) continue;
-        newest = std::max(newest, item->heard_at - milliseconds(item->last.store_back_ms));
+    for (const fleet_vm* item : this->gossip.fleet().heard(now)) {
+        if (!item->last.watches_store) continue;
+        newest = std::max(newest, item->heard_at - item->last.store_back * store_back_unit);
     }
     return newest;
 }
 
 void registry_follower::ask_peer(instant now)
 {
-    auto heard = this->gossip.heard(now);
-    // Any of those that know the most: if all asked the same one, it would be swamped.
-    std::ranges::shuffle(heard, this->random);
-    const auto newest = std::ranges::max_element(
-        heard, {}, [](const fleet_gossip::peer* item) { return item->last.servers_revision; });
     const std::uint64_t own = this->feed.revision();
-    if (newest == heard.end() || (*newest)->last.servers_revision <= own) {
+    const fleet_vm* newest =
+        choose_newest(this->gossip.fleet(), now, this->random, own,
+                      [](const fleet_vm& item) { return item.last.servers_revision; });
+    if (newest == nullptr) {
         this->behind_since = instant{};
         return;
     }
@@ -103,7 +83,7 @@
     const duration patience = by_store ? store_tells_within : duration::zero();
     if (this->asking || now - this->behind_since < patience) return;
     this->asking = true;
-    const link_address from = this->gossip.address_of(**newest);
+    const link_address from = this->gossip.address_of(*newest);
     const std::string path =
         std::string(registry_path) + "?" + since_parameter + "=" + std::to_string(own);
     this->caller.call(from, EVHTTP_REQ_GET, path, {}, {}, peer_call_timeout,
@@ -140,12 +120,10 @@
 
 void registry_follower::describe(fleet_digest& digest, instant now) const
 {
-    const auto back =
-        std::chrono::duration_cast<milliseconds>(now - this->watch.regained_at()).count();
+    constexpr std::int64_t longest = std::numeric_limits<std::uint16_t>::max();
+    const std::int64_t back = (now - this->watch.regained_at()) / store_back_unit;
     digest.servers_revision = this->feed.revision();
-    digest.watches_servers = this->watch.follows();
-    digest.store_back_ms =
-        static_cast<std::uint32_t>(std::min<std::int64_t>(back, longest_back_ms));
+    digest.store_back = static_cast<std::uint16_t>(std::min(back, longest));
 }
 
 void registry_follower::serve(evhttp_request* request) const
--- a/src/registry_follower.h
+++ b/src/registry_follower.h
@@ -1,9 +1,5 @@
 /** \file
  * Keeps this VM's view of the servers up to date: at the store, or behind the VMs that are.
- *
- * A few VMs of the fleet watch the registry at the store; the others ask them for changes when a
- * digest tells of one. A VM watches by itself unless enough others do, so one that hears nobody,
- * or only VMs that the store refuses, is never without a source.
  */
 #pragma once
 
@@ -19,14 +15,6 @@
 
 class registry_follower {
 public:
-    /** VMs that watch at the store. Three, so that the loss of two changes nothing. */
-    static constexpr std::size_t watchers_wanted = 3;
-    /** A watcher that was not heard for this many digest periods, and at least for the shortest
-     * time, does not count. */
-    static constexpr int watcher_periods = 4;
-    static constexpr duration watcher_heard_within = milliseconds(700);
-    /** Others must watch for so long before this VM stops to: they may be as new as it is. */
-    static constexpr duration watched_enough_for = seconds(2);
     /** A watcher learns of a change from the store; it asks another VM only when it does not. */
     static constexpr duration store_tells_within = milliseconds(600);
     static constexpr duration peer_call_timeout = milliseconds(800);
@@ -35,7 +23,8 @@
                       const protocol& dialect, server_table& table, fleet_gossip& gossip);
 
     void start() { this->watch.start(); }
-    void tick(instant now);
+    /** \p watching: whether it is for this VM to watch the store. */
+    void tick(instant now, bool watching);
     /** Fills in what this VM tells others of the registry. */
     void describe(fleet_digest& digest, instant now) const;
     /** Answers another VM that asks for changes. */
@@ -43,13 +32,12 @@
 
     [[nodiscard]] bool known() const { return this->registry.known(); }
     [[nodiscard]] bool store_reachable() const { return this->watch.reachable(); }
-    [[nodiscard]] bool watching() const { return this->watch.follows(); }
+    [[nodiscard]] bool follows() const { return this->watch.follows(); }
 
     /** The server takes no new work any more. */
     sigc::signal<void(const server_id&)> on_leaving;
 
 private:
-    void choose_source(instant now);
     void ask_peer(instant now);
     void take(const http_response& response, const std::string& peer);
     void apply(const registry_update& update);
@@ -61,8 +49,7 @@
     object_watch watch;
     registry_feed feed;
     bool asking = false;
-    instant behind_since{};  ///< another VM knows a newer change; the epoch: none does
-    instant watched_since{}; ///< enough others watch; the epoch: they do not
+    instant behind_since{}; ///< another VM knows a newer change; the epoch: none does
     std::minstd_rand random{std::random_device{}()};
 };
 
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -20,17 +20,9 @@
 constexpr duration stop_quiet = milliseconds(300);
 /** Left of the grace when what still runs is cut off. */
 constexpr duration stop_margin = milliseconds(400);
-/** Other VMs tell of a new configuration, so a watch of it may wait longer the more there are: in
- * the mean one of them ends within this time. */
-constexpr milliseconds config_wait_per_vm = milliseconds(400);
-constexpr milliseconds longest_config_wait = seconds(20);
-/** The store tells of a new configuration by itself; another VM is asked only when it does not. */
-constexpr duration config_from_store_within = milliseconds(500);
-constexpr duration peer_call_timeout = milliseconds(800);
 /** The settings file may change without a signal. */
 constexpr duration settings_check_period = seconds(1);
 constexpr duration loads_summed_every = milliseconds(50);
-constexpr const char* config_path = "/configuration";
 constexpr int ok = 200;
 constexpr int unavailable = 503;
 
@@ -75,8 +67,8 @@
     : options(std::move(given)), dialect(dialect), reload(std::move(reload)),
       base(make_event_base()), servers(options.data_centre), callers(base.get(), options.front),
       links(base.get(), dialect), path(callers, links, servers, dialect, numbers),
-      gossip(base.get(), options.peer, options.seeds), caller(base.get()),
-      config_watch(base.get(), caller, options.store, dialect, object_kind::configuration),
+      gossip(base.get(), options.peer, options.data_centre, options.seeds), caller(base.get()),
+      configuration(base.get(), caller, options.store, dialect, gossip),
       registry(base.get(), caller, options.store, dialect, servers, gossip),
       ticker(base.get(), [this] { this->tick(); }),
       on_term(base.get(), SIGTERM, [this] { this->stop(); }),
@@ -87,9 +79,7 @@
     raise_file_limit();
     this->path.set_budget(this->options.retries);
     this->settings_text = read_text(this->options.file);
-    this->follow_store();
-    this->gossip.on_digest.connect(
-        [this](const fleet_gossip::peer& from) { this->take_digest(from); });
+    this->connect_signals();
     this->serve_peers();
     this->serve_readiness();
     this->serve_metrics();
@@ -103,7 +93,7 @@
               {{"data_centre", this->options.data_centre.text},
                {"front_port", this->options.front.port},
                {"seeds", this->options.seeds.size()}});
-    this->config_watch.start();
+    this->configuration.start();
     this->registry.start();
     this->ticker.start_every(tick_period);
     event_base_dispatch(this->base.get());
@@ -118,135 +108,78 @@
     this->callers.sweep(time);
     this->links.sweep(time);
     this->path.tick(time);
-    this->registry.tick(time);
+    this->follow_store(time);
     this->start_serving();
-    this->spread_config_watch(time);
     this->servers.sweep();
-    this->sum_peer_loads(time);
-    this->fetch_config(time);
-    this->gossip.tick(time, [this](fleet_digest& digest) { this->describe_self(digest); });
+    this->take_peer_loads(time);
+    this->gossip.tick(time, [this, time] { return this->describe_self(time); });
     this->check_settings_file(time);
     if (this->stopping) this->continue_stop(time);
     flush_log();
 }
 
-void router::follow_store()
+void router::connect_signals()
 {
-    this->config_watch.on_list.connect([this](const std::vector<stored_object>& all) {
-        for (const stored_object& item : all)
-            this->take_config_document(item.document, "store");
-    });
-    this->config_watch.on_change.connect([this](const stored_object& item) {
-        if (!item.removed) this->take_config_document(item.document, "store");
+    this->configuration.on_config.connect([this] {
+        if (this->serving) this->path.set_config(this->configuration.config());
     });
     this->registry.on_leaving.connect([this](const server_id& id) { this->links.forget(id); });
+    this->gossip.on_digest.connect([this](const fleet_vm& from) {
+        this->loads_changed = true;
+        this->configuration.take_digest(from, now());
+    });
 }
 
 /** Requests are routed once both configuration and servers are known; until then they wait. */
 void router::start_serving()
 {
-    if (this->serving || this->config == nullptr || !this->registry.known()) return;
+    const router_config_ptr& config = this->configuration.config();
+    if (this->serving || config == nullptr || !this->registry.known()) return;
     this->serving = true;
-    this->path.set_config(this->config);
+    this->path.set_config(config);
     log_event(log_level::info, "serving",
-              {{"config", this->config->version}, {"servers", this->servers.rows().size()}});
-}
-
-/** Puts a configuration in force unless it is older than the one that is. */
-void router::take_config_document(const std::string& document, std::string_view source)
-{
-    try {
-        std::shared_ptr<router_config> made = this->dialect.decode_config(document);
-        const std::uint64_t before = this->config == nullptr ? 0 : this->config->version;
-        const bool newer = this->config == nullptr || made->version > before;
-        log_event(log_level::info, "config_received",
-                  {{"source", source},
-                   {"version", made->version},
-                   {"in_force", before},
-                   {"outcome", newer ? "in_force" : "ignored"}});
-        if (!newer) return;
-        made->document = document;
-        this->config = std::move(made);
-        if (this->serving) this->path.set_config(this->config);
-        this->gossip.hasten();
-    } catch (const error& fault) {
-        log_event(log_level::error, "config_unreadable",
-                  {{"source", source}, {"step", fault.step}, {"reason", fault.what()}});
-    }
+              {{"config", config->version}, {"servers", this->servers.rows().size()}});
 }
 
-void router::take_digest(const fleet_gossip::peer& from)
+/** Configuration and servers, from the store or from other VMs. */
+void router::follow_store(instant time)
 {
-    this->loads_changed = true;
-    const std::uint64_t own = this->config == nullptr ? 0 : this->config->version;
-    if (from.last.config_version <= std::max(own, this->newest_heard)) return;
-    if (this->newest_heard <= own) this->newer_since = now();
-    this->newest_heard = from.last.config_version;
+    this->duty.update(this->gossip.fleet(), time);
+    this->configuration.tick(time, this->duty.watching());
+    this->registry.tick(time, this->duty.watching());
 }
 
-/** Adds up what the other VMs have under way at each server. */
-void router::sum_peer_loads(instant time)
+/** What the other VMs have under way at each server. */
+void router::take_peer_loads(instant time)
 {
     if (time - this->summed_at < loads_summed_every) return;
     this->summed_at = time;
-    const std::vector<const fleet_gossip::peer*> heard = this->gossip.heard(time);
-    this->path.set_fleet_size(heard.size() + 1);
-    if (!std::exchange(this->loads_changed, false) && !heard.empty()) return;
-    std::unordered_map<std::uint32_t, std::uint32_t> sums;
-    for (const fleet_gossip::peer* item : heard) {
-        for (const peer_load& load : item->last.loads)
-            sums[load.server] += load.requests;
+    this->path.set_fleet_size(this->gossip.fleet().alive(time));
+    if (!std::exchange(this->loads_changed, false) && !this->gossip.fleet().heard(time).empty()) {
+        return;
     }
+    const load_table others = this->gossip.loads_of_others(time);
     this->servers.peers_summed_at = time;
-    for (auto& [id, row] : this->servers.rows()) {
-        const auto found = sums.find(short_hash(row));
-        row.peers_in_flight = found == sums.end() ? 0 : found->second;
-    }
+    for (auto& [id, row] : this->servers.rows())
+        row.peers_in_flight = load_at(others, short_hash(row));
 }
 
-void router::describe_self(fleet_digest& digest) const
+own_state router::describe_self(instant time) const
 {
-    digest.config_version = this->config == nullptr ? 0 : this->config->version;
-    this->registry.describe(digest, now());
-    digest.leaving = this->stopping;
-    if (!this->gossip.tells_loads()) return;
+    own_state state;
+    state.digest.config_version = this->configuration.version();
+    state.digest.watches_store = this->configuration.follows() && this->registry.follows();
+    state.digest.leaving = this->stopping;
+    this->registry.describe(state.digest, time);
+    state.servers = this->servers.rows().size();
     for (const auto& [id, row] : this->servers.rows()) {
         if (row.in_flight == 0) continue;
-        digest.loads.push_back({short_hash(row), static_cast<std::uint16_t>(row.in_flight)});
+        state.loads.push_back({short_hash(row), static_cast<std::uint16_t>(row.in_flight)});
     }
-}
-
-/** Asks another VM for a configuration that the store does not give to this one. */
-void router::fetch_config(instant time)
-{
-    const std::uint64_t own = this->config == nullptr ? 0 : this->config->version;
-    if (this->fetching || this->newest_heard <= own) return;
-    if (time - this->newer_since < config_from_store_within) return;
-    const auto heard = this->gossip.heard(time);
-    const auto holder = std::ranges::find_if(
-        heard, [own](const fleet_gossip::peer* item) { return item->last.config_version > own; });
-    if (holder == heard.end()) return;
-    this->fetching = true;
-    const link_address from = this->gossip.address_of(**holder);
-    this->caller.call(from, EVHTTP_REQ_GET, config_path, {}, {}, peer_call_timeout,
-                      [this, from](const http_response& response) {
-                          this->fetching = false;
-                          this->newer_since = now();
-                          if (response.status == ok) {
-                              this->take_config_document(response.body, from.address);
-                          } else {
-                              log_event(log_level::warn, "config_not_fetched",
-                                        {{"peer", from.address}, {"status", response.status}});
-                          }
-                      });
-}
-
-/** The more VMs there are that tell of a new configuration, the longer a watch of it may wait. */
-void router::spread_config_watch(instant time)
-{
-    const auto vms = static_cast<int>(this->gossip.heard(time).size() + 1);
-    this->config_watch.set_wait(
-        std::clamp(config_wait_per_vm * vms, object_watch::default_wait, longest_config_wait));
+    const std::vector<const server_entry*> busy = this->servers.busy();
+    std::ranges::transform(busy, std::back_inserter(state.busy),
+                           [](const server_entry* row) { return short_hash(*row); });
+    return state;
 }
 
 void router::serve_peers()
@@ -255,9 +188,7 @@
     evhttp_set_cb(
         this->peer_http.get(), config_path,
         [](evhttp_request* request, void* self) {
-            const router_config_ptr config = static_cast<router*>(self)->config;
-            const bool have = config != nullptr;
-            reply(request, have ? ok : unavailable, have ? config->document : std::string_view());
+            static_cast<router*>(self)->configuration.serve(request);
         },
         this);
     evhttp_set_cb(
@@ -301,12 +232,11 @@
     text << "worksshift_attempts_active " << this->links.active() << '\n';
     text << "worksshift_caller_connections " << this->callers.open() << '\n';
     text << "worksshift_server_connections_opened_total " << this->links.opened() << '\n';
-    text << "worksshift_config_version " << (this->config == nullptr ? 0 : this->config->version)
-         << '\n';
-    text << "worksshift_registry_watched " << (this->registry.watching() ? 1 : 0) << '\n';
+    text << "worksshift_config_version " << this->configuration.version() << '\n';
+    text << "worksshift_registry_watched " << (this->duty.watching() ? 1 : 0) << '\n';
     text << "worksshift_store_reachable " << (this->registry.store_reachable() ? 1 : 0) << '\n';
     text << "worksshift_digest_bytes_sent_total " << this->gossip.bytes_sent() << '\n';
-    text << "worksshift_vms_heard " << this->gossip.heard(now()).size() << '\n';
+    text << "worksshift_vms_heard " << this->gossip.fleet().heard(now()).size() << '\n';
     return text.str();
 }
 
--- a/src/router.h
+++ b/src/router.h
@@ -9,14 +9,15 @@
 #include <functional>
 
 #include "caller_links.h"
+#include "config_follower.h"
 #include "fleet_gossip.h"
 #include "metrics.h"
-#include "object_watch.h"
 #include "registry_follower.h"
 #include "request_path.h"
 #include "router_settings.h"
 #include "server_links.h"
 #include "server_table.h"
+#include "watch_duty.h"
 
 namespace worksshift {
 
@@ -37,14 +38,11 @@
 
 private:
     void tick();
-    void follow_store();
+    void connect_signals();
     void start_serving();
-    void take_config_document(const std::string& document, std::string_view source);
-    void take_digest(const fleet_gossip::peer& from);
-    void sum_peer_loads(instant now);
-    void describe_self(fleet_digest& digest) const;
-    void fetch_config(instant now);
-    void spread_config_watch(instant now);
+    void follow_store(instant now);
+    void take_peer_loads(instant now);
+    [[nodiscard]] own_state describe_self(instant now) const;
     void serve_peers();
     void serve_readiness();
     void serve_metrics();
@@ -66,7 +64,8 @@
     request_path path;
     fleet_gossip gossip;
     http_caller caller;
-    object_watch config_watch;
+    watch_duty duty;
+    config_follower configuration;
     registry_follower registry;
     event_ptr<evhttp> peer_http;
     event_ptr<evhttp> readiness_http;
@@ -76,12 +75,8 @@
     signal_watch on_int;
     signal_watch on_hup;
 
-    router_config_ptr config;
-    bool loads_changed = false;
+    bool loads_changed = false; ///< a digest came since the loads were added up
     instant summed_at{};
-    std::uint64_t newest_heard = 0; ///< version of the configuration at another VM
-    instant newer_since{};
-    bool fetching = false;
     std::string settings_text; ///< of the file, as last read
     instant settings_read{};
     bool serving = false; ///< configuration and servers are known
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -7,6 +7,23 @@
 
 namespace worksshift {
 
+namespace {
+
+double mean_load(std::span<server_entry* const> rows)
+{
+    const double total =
+        std::accumulate(rows.begin(), rows.end(), 0.0,
+                        [](double sum, const server_entry* row) { return sum + row->load(); });
+    return total / static_cast<double>(rows.size());
+}
+
+double load_bound(double mean)
+{
+    return load_bound_multiple * mean + load_bound_spare;
+}
+
+} // namespace
+
 bool server_table::put(const server_record& record)
 {
     const auto [found, added] = this->table.try_emplace(record.id);
@@ -50,6 +67,18 @@
     std::erase_if(this->table, [](const auto& entry) { return entry.second.over(); });
 }
 
+std::vector<const server_entry*> server_table::busy() const
+{
+    std::vector<const server_entry*> found;
+    for (const auto& [service, rows] : this->by_service) {
+        if (rows.empty()) continue;
+        const double limit = busy_share * load_bound(mean_load(rows));
+        std::ranges::copy_if(rows, std::back_inserter(found),
+                             [limit](const server_entry* row) { return row->load() >= limit; });
+    }
+    return found;
+}
+
 server_table::row_list server_table::candidates(const placing& wanted, instant now)
 {
     const auto group = this->by_service.find(wanted.service);
@@ -82,11 +111,8 @@
 
 placed server_table::choose_engine(const placing& wanted, row_list& rows) const
 {
-    const double total =
-        std::accumulate(rows.begin(), rows.end(), 0.0,
-                        [](double sum, const server_entry* row) { return sum + row->load(); });
-    const double mean = total / static_cast<double>(rows.size());
-    const double bound = load_bound_multiple * mean + load_bound_spare;
+    const double mean = mean_load(rows);
+    const double bound = load_bound(mean);
     const std::uint64_t key = wanted.affinity;
     if (key != 0) {
         std::ranges::sort(rows, std::greater{}, [key](const server_entry* row) {
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -59,6 +59,8 @@
  * read again on a calm day fell from 1.30 to 0.85 million, with first tokens as early as before. */
 constexpr double load_bound_multiple = 1.7;
 constexpr double load_bound_spare = 2.5;
+/** From this share of its bound on a server is busy. */
+constexpr double busy_share = 0.7;
 /** A plain server in another data centre counts as this much of its slots busier than it is: calls
  * stay near unless the near ones are a quarter busier. */
 constexpr double distance_penalty = 0.25;
@@ -92,6 +94,8 @@
     void mark_replaced(const server_id& id);
     [[nodiscard]] server_entry* find(const server_id& id);
     placed choose(const placing& wanted, instant now);
+    /** Servers near their load bound: what other VMs need to know of first. */
+    [[nodiscard]] std::vector<const server_entry*> busy() const;
     /** Frees rows that are gone and idle. */
     void sweep();
 
--- /dev/null
+++ b/test/error/packed_documents_are_checked.cpp
@@ -0,0 +1,60 @@
+/** \file
+ * A document that another VM passes on is taken only if it is whole.
+ */
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "errors.h"
+#include "packed_text.h"
+
+namespace {
+
+using namespace worksshift;
+
+class packed_documents_are_checked : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(packed_documents_are_checked);
+    CPPUNIT_TEST(comes_back_and_is_short);
+    CPPUNIT_TEST(cut_short);
+    CPPUNIT_TEST(other_bytes);
+    CPPUNIT_TEST(length_beyond_all_documents);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::string document()
+    {
+        std::string text;
+        for (int i = 0; i < 500; ++i)
+            text += R"({"name":"route-)" + std::to_string(i) + R"(","host":"a.example"},)";
+        return text;
+    }
+
+public:
+    static void comes_back_and_is_short()
+    {
+        const std::string packed = pack(document());
+        CPPUNIT_ASSERT_EQUAL(document(), unpack(packed, "vm"));
+        CPPUNIT_ASSERT(packed.size() * 5 < document().size());
+        CPPUNIT_ASSERT_EQUAL(std::string(), unpack(pack(""), "vm"));
+    }
+
+    static void cut_short()
+    {
+        const std::string packed = pack(document());
+        for (const std::size_t size : {std::size_t{0}, std::size_t{3}, packed.size() - 1})
+            CPPUNIT_ASSERT_THROW(unpack(packed.substr(0, size), "vm"), peer_error);
+    }
+
+    static void other_bytes()
+    {
+        CPPUNIT_ASSERT_THROW(unpack("<html>not found</html>", "vm"), peer_error);
+    }
+
+    static void length_beyond_all_documents()
+    {
+        std::string packed = pack(document());
+        packed[3] = '\x7f';
+        CPPUNIT_ASSERT_THROW(unpack(packed, "vm"), peer_error);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(packed_documents_are_checked);
+
+} // namespace
--- a/test/fakes/fake_store.cpp
+++ b/test/fakes/fake_store.cpp
@@ -57,6 +57,11 @@
     this->objects[kind].erase(name);
 }
 
+std::size_t fake_store::waiting_for(const std::string& kind) const
+{
+    return static_cast<std::size_t>(std::ranges::count(this->waiting, kind, &waiter::kind));
+}
+
 void fake_store::take(evhttp_request* request)
 {
     const std::string path = path_of(request);
--- a/test/fakes/fake_store.h
+++ b/test/fakes/fake_store.h
@@ -33,6 +33,9 @@
     /** Loses the calls that wait now, without a sign, as when a connection goes silent. */
     void lose_waiting() { this->waiting.clear(); }
 
+    /** Watches of a kind that wait for a change: the calls that one would answer. */
+    [[nodiscard]] std::size_t waiting_for(const std::string& kind) const;
+
     store_fault fault = store_fault::none;
     std::size_t page_size = 500;
     std::size_t lists = 0;   ///< calls that came
--- /dev/null
+++ b/test/fuzz/digests_reach_every_vm.cpp
@@ -0,0 +1,158 @@
+/** \file
+ * Digests bring every VM the loads of all others, however many VMs and data centres there are,
+ * with datagrams lost and VMs killed; and a few VMs watch the store for all.
+ */
+#include <algorithm>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include "errors.h"
+#include "support/digest_fleet.h"
+
+namespace {
+
+using namespace worksshift;
+using support::digest_fleet;
+
+/** Loads drawn for some of the servers. */
+load_table draw_loads(std::size_t servers)
+{
+    const auto count = *rc::gen::inRange<std::size_t>(0, servers + 1);
+    load_table loads;
+    for (std::size_t i = 0; i < count; ++i) {
+        loads.push_back({*rc::gen::inRange<std::uint32_t>(1, servers + 1),
+                         *rc::gen::inRange<std::uint16_t>(1, 9)});
+    }
+    normalize(loads);
+    return loads;
+}
+
+/** What every VM should know, in the order of servers. */
+bool all_know_the_truth(const digest_fleet& fleet)
+{
+    return std::ranges::all_of(fleet.vms, [&](const auto& entry) {
+        return entry.second.rounds.loads_of_others(fleet.now) == fleet.truth_without(entry.first);
+    });
+}
+
+std::size_t watchers(const digest_fleet& fleet)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        fleet.vms, [](const auto& entry) { return entry.second.duty.watching(); }));
+}
+
+class digests_reach_every_vm : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(digests_reach_every_vm);
+    CPPUNIT_TEST(loads);
+    CPPUNIT_TEST(loads_after_kills);
+    CPPUNIT_TEST(watchers_settle);
+    CPPUNIT_TEST(others_watch_when_the_store_refuses);
+    CPPUNIT_TEST(a_digest_survives_its_coding);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    static void loads()
+    {
+        const bool held = rc::check("all VMs come to know all loads", [] {
+            const auto vms = *rc::gen::inRange<std::size_t>(1, 40);
+            const auto centres = *rc::gen::inRange<std::size_t>(1, 5);
+            digest_fleet fleet(vms, centres, *rc::gen::arbitrary<std::uint64_t>());
+            fleet.servers = *rc::gen::inRange<std::size_t>(1, 120);
+            fleet.loss = *rc::gen::element(0.0, 0.02, 0.1);
+            for (auto& [vm, item] : fleet.vms)
+                item.loads = draw_loads(fleet.servers);
+            const duration took =
+                fleet.run_until([&] { return all_know_the_truth(fleet); }, seconds(30));
+            RC_ASSERT(took < seconds(30));
+        });
+        CPPUNIT_ASSERT(held);
+    }
+
+    static void loads_after_kills()
+    {
+        const bool held = rc::check("loads of killed VMs are forgotten, those of others kept", [] {
+            const auto vms = *rc::gen::inRange<std::size_t>(4, 40);
+            digest_fleet fleet(vms, *rc::gen::inRange<std::size_t>(1, 5),
+                               *rc::gen::arbitrary<std::uint64_t>());
+            fleet.servers = *rc::gen::inRange<std::size_t>(1, 60);
+            for (auto& [vm, item] : fleet.vms)
+                item.loads = draw_loads(fleet.servers);
+            fleet.run(seconds(8));
+            const auto killed = *rc::gen::inRange<std::size_t>(1, vms);
+            for (std::size_t i = 0; i < killed; ++i)
+                fleet.kill(*rc::gen::inRange<std::size_t>(0, vms));
+            if (*rc::gen::arbitrary<bool>()) fleet.start(0);
+            const duration took =
+                fleet.run_until([&] { return all_know_the_truth(fleet); }, seconds(30));
+            RC_ASSERT(took < seconds(30));
+        });
+        CPPUNIT_ASSERT(held);
+    }
+
+    static void watchers_settle()
+    {
+        const bool held = rc::check("few VMs watch the store", [] {
+            const auto vms = *rc::gen::inRange<std::size_t>(1, 60);
+            const auto centres = *rc::gen::inRange<std::size_t>(1, 5);
+            digest_fleet fleet(vms, centres, *rc::gen::arbitrary<std::uint64_t>());
+            fleet.run(seconds(10));
+            const std::size_t allowed = vms <= small_fleet || centres == 1
+                                            ? watch_duty::watchers_of_fleet
+                                            : watch_duty::watchers_of_data_centre * centres;
+            RC_ASSERT(watchers(fleet) <= allowed);
+            RC_ASSERT(watchers(fleet) >= 1);
+        });
+        CPPUNIT_ASSERT(held);
+    }
+
+    static void others_watch_when_the_store_refuses()
+    {
+        digest_fleet fleet(40, 4, 1);
+        fleet.run(seconds(10));
+        for (auto& [vm, item] : fleet.vms) {
+            if (item.duty.watching()) item.store_answers = false;
+        }
+        // A server that leaves must get no new work two seconds later.
+        const duration took = fleet.run_until(
+            [&] {
+                return std::ranges::all_of(fleet.vms, [&](const auto& entry) {
+                    const auto near = entry.second.rounds.fleet().near(fleet.now);
+                    const bool told = std::ranges::any_of(
+                        near, [](const fleet_vm* item) { return item->last.watches_store; });
+                    return told || (entry.second.duty.watching() && entry.second.store_answers);
+                });
+            },
+            seconds(10));
+        CPPUNIT_ASSERT(took <= seconds(1));
+    }
+
+    static void a_digest_survives_its_coding()
+    {
+        const bool held = rc::check("decoding gives what was encoded", [] {
+            fleet_digest given;
+            given.incarnation = *rc::gen::arbitrary<std::uint32_t>();
+            given.config_version = *rc::gen::arbitrary<std::uint64_t>();
+            given.watches_store = *rc::gen::arbitrary<bool>();
+            given.own_loads = {3, 8, draw_loads(90)};
+            given.distant_loads = {0, 1, draw_loads(20)};
+            given.vms.push_back({*rc::gen::arbitrary<std::uint32_t>(), 7, 3});
+            const fleet_digest got = decode_digest(encode(given), "vm");
+            RC_ASSERT(got.incarnation == given.incarnation);
+            RC_ASSERT(got.config_version == given.config_version);
+            RC_ASSERT(got.watches_store == given.watches_store);
+            RC_ASSERT(got.own_loads.part == 3 && got.own_loads.parts == 8);
+            RC_ASSERT(got.own_loads.entries == given.own_loads.entries);
+            RC_ASSERT(got.distant_loads.entries == given.distant_loads.entries);
+            RC_ASSERT(got.vms.at(0).address == given.vms.at(0).address);
+            std::string bytes = encode(given);
+            bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size()));
+            RC_ASSERT_THROWS_AS(decode_digest(bytes, "vm"), peer_error);
+        });
+        CPPUNIT_ASSERT(held);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(digests_reach_every_vm);
+
+} // namespace
--- /dev/null
+++ b/test/support/digest_fleet.cpp
@@ -0,0 +1,111 @@
+#include "support/digest_fleet.h"
+
+#include <algorithm>
+
+namespace support {
+
+using namespace worksshift;
+
+namespace {
+
+/** Of the routers' tick. */
+constexpr duration step_span = milliseconds(25);
+/** The first VM's address; the others follow. */
+constexpr std::uint32_t first_address = 0x0a000001;
+constexpr duration shortest_delay = std::chrono::microseconds(300);
+constexpr duration longest_delay = milliseconds(3);
+
+} // namespace
+
+digest_fleet::digest_fleet(std::size_t count, std::size_t centres, std::uint64_t seed)
+    : data_centres(centres), random(seed)
+{
+    for (std::size_t vm = 0; vm < count; ++vm)
+        this->start(vm);
+}
+
+void digest_fleet::start(std::size_t vm)
+{
+    fleet_table::identity self;
+    self.address = first_address + static_cast<std::uint32_t>(vm);
+    self.data_centre = static_cast<std::uint32_t>(this->data_centre_of(vm)) + 1;
+    self.incarnation = static_cast<std::uint32_t>(this->random());
+    constexpr std::array seeds{first_address, first_address + 1, first_address + 2};
+    this->vms.erase(vm);
+    this->vms.try_emplace(vm, self, seeds, this->now);
+}
+
+load_table digest_fleet::truth_without(std::size_t without) const
+{
+    load_table sums;
+    for (const auto& [vm, item] : this->vms) {
+        if (vm != without) sums.insert(sums.end(), item.loads.begin(), item.loads.end());
+    }
+    normalize(sums);
+    return sums;
+}
+
+void digest_fleet::run(duration span)
+{
+    const instant end = this->now + span;
+    while (this->now < end)
+        this->step();
+}
+
+duration digest_fleet::run_until(const std::function<bool()>& done, duration limit)
+{
+    const instant begin = this->now;
+    while (!done() && this->now - begin < limit)
+        this->step();
+    return this->now - begin;
+}
+
+void digest_fleet::step()
+{
+    this->now += step_span;
+    while (!this->network.empty() && this->network.top().at <= this->now) {
+        const datagram item = this->network.top();
+        this->network.pop();
+        this->deliver(item);
+    }
+    for (auto& [vm, item] : this->vms) {
+        item.duty.update(item.rounds.fleet(), this->now);
+        if (item.rounds.due(this->now)) this->send_round(vm);
+    }
+}
+
+void digest_fleet::deliver(const datagram& item)
+{
+    const auto receiver = this->vms.find(item.to);
+    if (receiver == this->vms.end()) return;
+    receiver->second.bytes_received += item.bytes.size();
+    receiver->second.rounds.fleet().take(first_address + static_cast<std::uint32_t>(item.from),
+                                         decode_digest(item.bytes, "vm"), this->now);
+}
+
+void digest_fleet::send_round(std::size_t vm)
+{
+    digest_vm& item = this->vms.at(vm);
+    own_state state;
+    state.digest.config_version = item.config_version;
+    state.digest.watches_store = item.duty.watching() && item.store_answers;
+    state.loads = item.loads;
+    state.servers = this->servers;
+    state.busy = item.busy;
+    for (const outgoing_digest& made : item.rounds.next(std::move(state), this->now)) {
+        for (const std::uint32_t address : made.to) {
+            const std::size_t to = address - first_address;
+            item.bytes_sent += made.bytes.size();
+            if (this->data_centre_of(to) != this->data_centre_of(vm)) {
+                item.bytes_across += made.bytes.size();
+            }
+            const bool lost = std::uniform_real_distribution<>()(this->random) < this->loss;
+            if (lost || this->cut.contains(std::minmax(vm, to))) continue;
+            const auto delay = std::uniform_int_distribution<duration::rep>(
+                shortest_delay.count(), longest_delay.count())(this->random);
+            this->network.push({this->now + duration(delay), this->sent++, vm, to, made.bytes});
+        }
+    }
+}
+
+} // namespace support
