--- /dev/null
+++ b/test/error/configurations_that_come_late.cpp
@@ -0,0 +1,181 @@
+/** \file
+ * A configuration comes from the store or from another VM, whichever has it, and is never replaced
+ * by an older one.
+ */
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "config_follower.h"
+#include "fakes/fake_store.h"
+#include "platform.h"
+#include "support/fleet.h"
+#include "support/path_rig.h"
+
+namespace {
+
+using namespace worksshift;
+using fakes::store_fault;
+
+/** The part of a router that follows the configuration. */
+class vm {
+public:
+    vm(event_base* base, const std::string& address, std::uint16_t port, const link_address& store,
+       const protocol& dialect)
+        : caller(base), gossip(base, {address, port}, {"dc"}, seeds(port)),
+          follower(base, caller, store, dialect, gossip), http(evhttp_new(base)),
+          ticker(base, [this] { this->tick(); })
+    {
+        this->gossip.on_digest.connect([this](const fleet_vm& from) {
+            this->follower.take_digest(from, std::chrono::steady_clock::now());
+        });
+        evhttp_set_gencb(
+            this->http.get(),
+            [](evhttp_request* request, void* self) { static_cast<vm*>(self)->serve(request); },
+            this);
+        if (evhttp_bind_socket(this->http.get(), address.c_str(), port) != 0) {
+            throw std::runtime_error("cannot listen");
+        }
+        this->ticker.start_every(milliseconds(10));
+        this->follower.start();
+    }
+
+    http_caller caller;
+    fleet_gossip gossip;
+    config_follower follower;
+    bool watching = true;
+    bool serves_rubbish = false;
+    bool serves_nothing = false;
+
+private:
+    static std::vector<link_address> seeds(std::uint16_t port)
+    {
+        return {{"127.0.0.41", port}, {"127.0.0.42", port}};
+    }
+
+    void serve(evhttp_request* request)
+    {
+        if (this->serves_nothing) return;
+        if (this->serves_rubbish) {
+            evbuffer_add(evhttp_request_get_output_buffer(request), "rubbish", 7);
+            evhttp_send_reply(request, 200, nullptr, nullptr);
+            return;
+        }
+        this->follower.serve(request);
+    }
+
+    void tick()
+    {
+        const instant now = std::chrono::steady_clock::now();
+        this->caller.sweep();
+        this->follower.tick(now, this->watching);
+        this->gossip.tick(now, [this] {
+            own_state state;
+            state.digest.config_version = this->follower.version();
+            return state;
+        });
+    }
+
+    event_ptr<evhttp> http;
+    timer ticker;
+};
+
+class configurations_that_come_late : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(configurations_that_come_late);
+    CPPUNIT_TEST(from_another_vm);
+    CPPUNIT_TEST(older_ones_are_ignored);
+    CPPUNIT_TEST(rubbish_from_another_vm);
+    CPPUNIT_TEST(other_vms_do_not_answer);
+    CPPUNIT_TEST_SUITE_END();
+
+    event_ptr<event_base> base;
+    std::unique_ptr<fakes::fake_store> store;
+    std::unique_ptr<vm> first;
+    std::unique_ptr<vm> second;
+    protocol dialect = platform_protocol();
+    std::uint16_t port = 0;
+    link_address store_address;
+
+    bool run_until(const std::function<bool()>& done, duration limit = seconds(5))
+    {
+        const instant end = std::chrono::steady_clock::now() + limit;
+        while (!done()) {
+            if (std::chrono::steady_clock::now() > end) return false;
+            event_base_loop(this->base.get(), EVLOOP_ONCE);
+        }
+        return true;
+    }
+
+    bool version_of(const vm& item, std::uint64_t version)
+    {
+        return this->run_until([&] { return item.follower.version() == version; });
+    }
+
+    std::unique_ptr<vm> make(const std::string& address, const link_address& store_at)
+    {
+        return std::make_unique<vm>(this->base.get(), address, this->port, store_at, this->dialect);
+    }
+
+public:
+    void setUp() override
+    {
+        this->base = make_event_base();
+        this->port = support::free_port();
+        this->store_address = {"127.0.0.1", support::free_port()};
+        this->store = std::make_unique<fakes::fake_store>(this->base.get(), this->store_address);
+        this->store->put("config", "main", support::example_config(5));
+        this->first = this->make("127.0.0.41", this->store_address);
+    }
+
+    void tearDown() override
+    {
+        this->second.reset();
+        this->first.reset();
+        this->store.reset();
+        this->base.reset();
+    }
+
+    void from_another_vm()
+    {
+        this->second = this->make("127.0.0.42", {"127.0.0.1", support::free_port()});
+        CPPUNIT_ASSERT(this->version_of(*this->second, 5));
+        this->store->put("config", "main", support::example_config(8));
+        CPPUNIT_ASSERT(this->version_of(*this->second, 8));
+    }
+
+    void older_ones_are_ignored()
+    {
+        CPPUNIT_ASSERT(this->version_of(*this->first, 5));
+        this->store->put("config", "main", support::example_config(3));
+        CPPUNIT_ASSERT(!this->run_until([&] { return this->first->follower.version() != 5; },
+                                        milliseconds(700)));
+        this->store->put("config", "main", support::example_config(6));
+        CPPUNIT_ASSERT(this->version_of(*this->first, 6));
+    }
+
+    void rubbish_from_another_vm()
+    {
+        CPPUNIT_ASSERT(this->version_of(*this->first, 5));
+        this->second = this->make("127.0.0.42", this->store_address);
+        CPPUNIT_ASSERT(this->version_of(*this->second, 5));
+        this->second->watching = false;
+        this->first->serves_rubbish = true;
+        this->store->put("config", "main", support::example_config(9));
+        // The other VM's bytes are refused, and the store is asked after all.
+        CPPUNIT_ASSERT(this->version_of(*this->second, 9));
+    }
+
+    void other_vms_do_not_answer()
+    {
+        CPPUNIT_ASSERT(this->version_of(*this->first, 5));
+        this->second = this->make("127.0.0.42", this->store_address);
+        CPPUNIT_ASSERT(this->version_of(*this->second, 5));
+        this->second->watching = false;
+        this->first->serves_nothing = true;
+        this->store->put("config", "main", support::example_config(9));
+        CPPUNIT_ASSERT(
+            this->run_until([&] { return this->second->follower.version() == 9; }, seconds(2)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(configurations_that_come_late);
+
+} // namespace
--- /dev/null
+++ b/test/soak/promise_ledger.cpp
@@ -0,0 +1,281 @@
+#include "promise_ledger.h"
+
+#include <algorithm>
+#include <array>
+
+#include "support/path_rig.h"
+#include "support/router_fleet.h"
+
+namespace soak {
+
+using namespace worksshift;
+using support::body_in;
+using support::header_in;
+
+namespace {
+
+/** Statuses that promise that nothing ran. */
+constexpr std::array not_run{408, 421, 429, 503};
+/** A configuration that was seen in force stays so; requests that were on their way then may still
+ * be handled by the one before. */
+constexpr duration rollback_slack = milliseconds(250);
+/** Requests are kept for so long, so that one that runs after its answer is noticed. */
+constexpr duration remembered_for = seconds(10);
+constexpr int unauthorized = 401;
+constexpr int ok = 200;
+
+bool promises_not_run(int status)
+{
+    return std::ranges::find(not_run, status) != not_run.end();
+}
+
+} // namespace
+
+const std::vector<route_facts>& routes()
+{
+    static const std::vector<route_facts> all{
+        {"/safe/x", "GET", "desk", 2, false, true},
+        {"/unsafe/x", "POST", "desk", 1, false, false},
+        {"/stream/x", "POST", "llm", 2, true, true},
+        {"/once/x", "POST", "llm", 1, true, false},
+    };
+    return all;
+}
+
+std::string whole_body(const route_facts& route, const std::string& id)
+{
+    if (!route.stream) return "answer to " + id;
+    std::string body;
+    for (unsigned event = 1; event <= events_in_stream; ++event)
+        body += "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
+    return body;
+}
+
+asked_request& promise_ledger::ask(const asked_request& given)
+{
+    ++this->asked;
+    asked_request item = given;
+    item.router_life = this->lives[item.router].number;
+    this->recent.push_back(item.id);
+    this->to_service[item.route->service].firsts.push_back(item.sent);
+    return this->requests[item.id] = item;
+}
+
+asked_request* promise_ledger::find(const std::string& id)
+{
+    const auto found = this->requests.find(id);
+    return found == this->requests.end() ? nullptr : &found->second;
+}
+
+void promise_ledger::report(const std::string& what, const asked_request& item)
+{
+    this->broken.push_back(
+        what + ": " + std::string(item.route->path) + " " + item.id +
+        " router=" + std::to_string(item.router) + " life=" + std::to_string(item.router_life) +
+        " status=" + std::to_string(item.status) + " runs=" + std::to_string(item.runs));
+}
+
+void promise_ledger::disturb(std::size_t router, instant now)
+{
+    this->lives[router].disturbed = now;
+}
+
+void promise_ledger::disturb_all(instant now)
+{
+    for (std::size_t router = 0; router < this->lives.size(); ++router)
+        this->disturb(router, now);
+}
+
+void promise_ledger::start_life(std::size_t router, instant now)
+{
+    router_life& life = this->lives[router];
+    life = {life.number + 1, 0, {}, now, {}};
+}
+
+bool promise_ledger::calm(const asked_request& item, bool bounds) const
+{
+    const router_life& life = this->lives[item.router];
+    if (life.number != item.router_life || item.sent - life.disturbed < calm_after) return false;
+    return !bounds || life.stopped == instant{};
+}
+
+instant promise_ledger::confirmed_at(std::uint64_t version) const
+{
+    const auto found = std::ranges::find(this->configs, version, &confirmed_config::version);
+    return found == this->configs.end() ? instant::max() : found->at;
+}
+
+instant promise_ledger::replaced_at(std::uint64_t version) const
+{
+    const auto found = std::ranges::find_if(
+        this->configs, [version](const auto& item) { return item.version > version; });
+    return found == this->configs.end() ? instant::max() : found->at;
+}
+
+void promise_ledger::take_config(std::uint64_t version, instant now)
+{
+    this->configs.push_back({version, now});
+}
+
+void promise_ledger::take_leaving(const std::string& server, instant now)
+{
+    this->left_at.try_emplace(server, now);
+}
+
+/** What a server gets is what the caller sent, with the account in place of its key. */
+void promise_ledger::check_forwarded(const asked_request& item, const std::string& request)
+{
+    const std::string line =
+        std::string(item.route->method) + " " + std::string(item.route->path) + " HTTP/1.1";
+    if (!request.starts_with(line)) this->report("another request line", item);
+    if (header_in(request, "x-tenant") != "one") this->report("not the account's name", item);
+    if (!header_in(request, "x-api-key").empty()) this->report("the key was passed on", item);
+    const std::string left = header_in(request, "x-deadline-ms");
+    constexpr int given_ms = 2000;
+    if (left.empty() || std::stoi(left) > given_ms) this->report("a longer deadline", item);
+    const bool has_body = item.route->method == "POST";
+    if (has_body && body_in(request) != "{}") this->report("another body", item);
+}
+
+void promise_ledger::check_leaving(const std::string& server, const asked_request& item,
+                                   instant now)
+{
+    const auto left = this->left_at.find(server);
+    if (left == this->left_at.end() || now - left->second <= in_force_within) return;
+    // The router must have been calm since the server left, not only since the request came.
+    const router_life& life = this->lives[item.router];
+    if (!this->calm(item, true) || left->second - life.disturbed < calm_after) return;
+    this->report("new work for " + server + " after it had left", item);
+}
+
+void promise_ledger::check_retries(const route_facts& route, instant now, bool repeat)
+{
+    arrivals& all = this->to_service[route.service];
+    if (repeat) all.repeats.push_back(now);
+    while (!all.repeats.empty() && now - all.repeats.front() > retry_window)
+        all.repeats.pop_front();
+    while (!all.firsts.empty() && now - all.firsts.front() > retry_window * 2)
+        all.firsts.pop_front();
+    const double allowed = retry_ratio * static_cast<double>(all.firsts.size()) + retry_slack;
+    if (!repeat || static_cast<double>(all.repeats.size()) <= allowed) return;
+    this->broken.push_back("too many repeats for " + std::string(route.service) + ": " +
+                           std::to_string(all.repeats.size()));
+}
+
+void promise_ledger::take_run(const std::string& server, const std::string& request, bool sound,
+                              instant now)
+{
+    asked_request* item = this->find(header_in(request, "x-request-id"));
+    if (item == nullptr) {
+        this->broken.push_back("a run that nobody asked for: " + request.substr(0, 80));
+        return;
+    }
+    this->check_forwarded(*item, request);
+    this->check_leaving(server, *item, now);
+    this->check_retries(*item->route, now, item->runs > 0);
+    ++item->runs;
+    ++item->at_work;
+    item->sound_runs += sound ? 1 : 0;
+    item->servers.push_back(server);
+    if (item->runs > item->route->attempts) this->report("ran too often", *item);
+    if (promises_not_run(item->status)) this->report("refused as not run, and ran", *item);
+    const bool gone = item->left != instant{} && now - item->left > cancelled_within;
+    if (gone && this->calm(*item, true)) this->report("sent on after its caller left", *item);
+    if (item->key == 0) return;
+    const bool taken_back = item->sent - this->replaced_at(item->key) > in_force_within;
+    if (taken_back && this->calm(*item, true)) this->report("ran by a key taken back", *item);
+    router_life& life = this->lives[item->router];
+    const bool reverted = life.newest_key > item->key && item->sent - life.seen > rollback_slack;
+    if (life.number != item->router_life) return;
+    if (reverted) this->report("an older configuration came back", *item);
+    if (item->key > life.newest_key) {
+        life.newest_key = item->key;
+        life.seen = now;
+    }
+}
+
+void promise_ledger::take_refusal(const std::string& request, instant now)
+{
+    const asked_request* item = this->find(header_in(request, "x-request-id"));
+    if (item != nullptr) this->check_retries(*item->route, now, item->runs > 0);
+}
+
+void promise_ledger::end_run(const std::string& request)
+{
+    asked_request* item = this->find(header_in(request, "x-request-id"));
+    if (item != nullptr && item->at_work > 0) --item->at_work;
+}
+
+void promise_ledger::check_body(const asked_request& item, const std::string& received)
+{
+    const std::string expected = whole_body(*item.route, item.id);
+    const std::string body = body_in(received);
+    if (!expected.starts_with(body)) this->report("not its own answer", item);
+    if (item.whole && body != expected) this->report("broken, and looks whole", item);
+}
+
+bool promise_ledger::was_harmed(const asked_request& item, instant now) const
+{
+    return std::ranges::any_of(item.servers, [&](const std::string& server) {
+        const auto found = this->harmed.find(server);
+        return found != this->harmed.end() && now - found->second < calm_after;
+    });
+}
+
+/** A sound server had the request, and the caller got no whole answer. */
+void promise_ledger::check_lost(const asked_request& item, instant now)
+{
+    if (item.whole || item.left != instant{} || item.sound_runs == 0) return;
+    if (now - item.sent >= timeout || !this->calm(item, false)) return;
+    if (!this->was_harmed(item, now) && item.runs == item.sound_runs) this->report("cut off", item);
+}
+
+void promise_ledger::check_key(const asked_request& item)
+{
+    if (item.status != unauthorized) return;
+    if (item.key == 0) {
+        this->report("a key of all configurations was refused", item);
+        return;
+    }
+    const bool in_force = item.sent - this->confirmed_at(item.key) > in_force_within &&
+                          item.answered < this->replaced_at(item.key);
+    if (in_force && this->calm(item, true)) this->report("a key in force was refused", item);
+}
+
+void promise_ledger::take_answer(asked_request& item, const std::string& received, instant now)
+{
+    item.answered = now;
+    item.status = support::status_in(received);
+    item.whole = support::is_whole(received);
+    if (item.left == instant{}) ++this->by_status[item.status];
+    if (promises_not_run(item.status) && item.runs > 0) {
+        this->report("refused as not run, and ran", item);
+    }
+    if (item.status == ok) this->check_body(item, received);
+    if (item.status == ok && item.whole) ++this->served;
+    this->check_lost(item, now);
+    this->check_key(item);
+    const bool late = now - item.sent > timeout + answer_slack;
+    if (late && this->calm(item, true)) this->report("held past its time", item);
+}
+
+void promise_ledger::check(instant now)
+{
+    while (!this->recent.empty()) {
+        const auto found = this->requests.find(this->recent.front());
+        if (now - found->second.sent < remembered_for) break;
+        this->requests.erase(found);
+        this->recent.pop_front();
+    }
+    for (auto& [id, item] : this->requests) {
+        const bool gone = item.left != instant{} && now - item.left > cancelled_within;
+        if (!gone || item.at_work == 0) continue;
+        const bool stoppable = item.route->stream || item.route->repeatable;
+        if (stoppable && this->calm(item, true) && !this->was_harmed(item, now)) {
+            this->report("a server works on after the caller left", item);
+        }
+        item.at_work = 0;
+    }
+}
+
+} // namespace soak
--- a/test/support/path_rig.cpp
+++ b/test/support/path_rig.cpp
@@ -32,7 +32,8 @@
     if (socket >= 0) setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
 }
 
-/** Size of the first whole request in \p bytes; 0 when it is not whole. */
+} // namespace
+
 std::size_t request_size(const std::string& bytes)
 {
     const std::size_t head = bytes.find(head_end);
@@ -42,8 +43,6 @@
     return bytes.size() >= size ? size : 0;
 }
 
-} // namespace
-
 struct scripted_server::connection {
     scripted_server* owner = nullptr;
     event_ptr<bufferevent> socket;
--- a/test/support/path_rig.h
+++ b/test/support/path_rig.h
@@ -116,6 +116,8 @@
 std::string stream_head(const std::string& request);
 /** One event as a chunk. */
 std::string event_chunk(unsigned id, const std::string& data);
+/** Size of the first whole request in \p bytes; 0 when it is not whole. */
+std::size_t request_size(const std::string& bytes);
 /** Value of a header in raw text; empty when it is not there. */
 std::string header_in(const std::string& text, const std::string& name);
 /** The body of a raw answer, decoded if it is chunked. */
--- a/test/support/router_fleet.cpp
+++ b/test/support/router_fleet.cpp
@@ -13,12 +13,11 @@
 } // namespace
 
 router_fleet::router_fleet(std::size_t count)
-    : base(make_event_base()), store_port(free_port()), front_port(free_port()),
-      ready_port(free_port()), peer_port(free_port()), metrics_port(free_port()),
-      ticker(base.get(), [] {})
+    : base(make_event_base()), stores(count, link_address{"127.0.0.1", free_port()}),
+      front_port(free_port()), ready_port(free_port()), peer_port(free_port()),
+      metrics_port(free_port()), ticker(base.get(), [] {})
 {
-    this->store = std::make_unique<fakes::fake_store>(this->base.get(),
-                                                      link_address{"127.0.0.1", this->store_port});
+    this->store = std::make_unique<fakes::fake_store>(this->base.get(), this->stores.front());
     this->routers.resize(count);
     // Wakes the loop, so that conditions on time are looked at.
     this->ticker.start_every(milliseconds(10));
@@ -36,15 +35,14 @@
     for (std::size_t i = 0; i < std::min<std::size_t>(this->routers.size(), 3); ++i)
         seeds += this->address_of(i) + ":1,";
     const auto at = [&own](std::uint16_t port) { return own + ":" + std::to_string(port); };
-    this->routers[router] =
-        child(WORKSSHIFT_BINARY_DIR "/worksshift-router",
-              {"--vm=vm" + std::to_string(router), "--data-centre=dc",
-               "--front=" + at(this->front_port), "--readiness=" + at(this->ready_port),
-               "--peer-address=" + own, "--peer-port=" + std::to_string(this->peer_port),
-               "--metrics-port=" + std::to_string(this->metrics_port),
-               "--store=127.0.0.1:" + std::to_string(this->store_port), "--seeds=" + seeds,
-               "--stop-grace-s=8"},
-              "router-" + std::to_string(router));
+    this->routers[router] = child(
+        WORKSSHIFT_BINARY_DIR "/worksshift-router",
+        {"--vm=vm" + std::to_string(router), "--data-centre=dc", "--front=" + at(this->front_port),
+         "--readiness=" + at(this->ready_port), "--peer-address=" + own,
+         "--peer-port=" + std::to_string(this->peer_port),
+         "--metrics-port=" + std::to_string(this->metrics_port),
+         "--store=" + to_string(this->stores[router]), "--seeds=" + seeds, "--stop-grace-s=8"},
+        "router-" + std::to_string(router));
 }
 
 void router_fleet::start_all()
@@ -64,11 +62,27 @@
                                           scripted_server::script answer)
 {
     this->servers.push_back(std::make_unique<scripted_server>(this->base.get(), std::move(answer)));
-    this->listings.push_back({id, service, this->servers.back()->address()});
-    this->store->put("servers", id, this->entry(id, "ready"));
+    this->list_server(id, service, this->servers.back()->address());
     return *this->servers.back();
 }
 
+void router_fleet::list_server(const std::string& id, const std::string& service,
+                               const link_address& address)
+{
+    this->listings.push_back({id, service, address});
+    this->store->put("servers", id, this->entry(id, "ready"));
+}
+
+link_address router_fleet::store_address(std::size_t router) const
+{
+    return this->stores[router];
+}
+
+void router_fleet::set_store_address(std::size_t router, const link_address& address)
+{
+    this->stores[router] = address;
+}
+
 void router_fleet::set_server_state(const std::string& id, const std::string& state)
 {
     this->store->put("servers", id, this->entry(id, state));
--- a/test/support/router_fleet.h
+++ b/test/support/router_fleet.h
@@ -25,6 +25,12 @@
     /** Adds a server to the registry of the store. */
     scripted_server& add_server(const std::string& id, const std::string& service,
                                 scripted_server::script answer);
+    /** Lists a server of the test's own in the registry. */
+    void list_server(const std::string& id, const std::string& service,
+                     const worksshift::link_address& address);
+    /** Where a router finds the store; takes effect with its next start. */
+    [[nodiscard]] worksshift::link_address store_address(std::size_t router) const;
+    void set_store_address(std::size_t router, const worksshift::link_address& address);
     void set_server_state(const std::string& id, const std::string& state);
     void remove_server(const std::string& id) { this->store->remove("servers", id); }
     void set_config(const std::string& document) { this->store->put("config", "main", document); }
@@ -55,7 +61,7 @@
         worksshift::link_address address;
     };
 
-    std::uint16_t store_port = 0;
+    std::vector<worksshift::link_address> stores; ///< by router
     std::uint16_t front_port = 0;
     std::uint16_t ready_port = 0;
     std::uint16_t peer_port = 0;
