--- a/apps/worksshift.cpp
+++ b/apps/worksshift.cpp
@@ -85,7 +85,7 @@
     {
         http_response result;
         this->caller.call(this->target, method, path, {{"Authorization", "Bearer " + this->token}},
-                          body, seconds(20), [&](const http_response& response) {
+                          body, {seconds(20)}, [&](const http_response& response) {
                               result = response;
                               event_base_loopbreak(this->base.get());
                           });
--- a/src/config_follower.cpp
+++ b/src/config_follower.cpp
@@ -99,7 +99,7 @@
     if (holder == nullptr) return;
     this->asking = true;
     const link_address from = this->gossip.address_of(*holder);
-    this->caller.call(from, EVHTTP_REQ_GET, config_path, {}, {}, peer_call_timeout,
+    this->caller.call(from, EVHTTP_REQ_GET, config_path, {}, {}, {peer_call_timeout},
                       [this, from](const http_response& response) {
                           this->asking = false;
                           if (response.status != ok) {
--- a/src/engine_client.cpp
+++ b/src/engine_client.cpp
@@ -50,8 +50,8 @@
         taken.versions = read_versions(body);
         done(std::move(taken));
     };
-    this->caller.call({engine.address, engine.port}, EVHTTP_REQ_GET, "/load", {}, {}, load_timeout,
-                      take);
+    this->caller.call({engine.address, engine.port}, EVHTTP_REQ_GET, "/load", {}, {},
+                      {load_timeout}, take);
 }
 
 void engine_client::give_order(const start_order& order, order_handler done)
@@ -67,7 +67,7 @@
         done({server, response.status == status_ok, known});
     };
     this->caller.call({order.server.address, order.server.port}, EVHTTP_REQ_POST, "/orders", {},
-                      body.dump(), order_timeout, take);
+                      body.dump(), {order_timeout}, take);
 }
 
 } // namespace worksshift
--- a/src/http_call.cpp
+++ b/src/http_call.cpp
@@ -41,15 +41,19 @@
 
 void http_caller::call(const link_address& to, evhttp_cmd_type method, const std::string& path,
                        const std::vector<header>& headers, const std::string& body,
-                       duration timeout, http_handler handler)
+                       const call_limit& limit, http_handler handler)
 {
     this->calls.push_back(std::make_unique<pending>());
     pending* item = this->calls.back().get();
     item->handler = std::move(handler);
     item->deadline = std::make_unique<timer>(this->base, [item] { finish(*item, nullptr); });
-    item->deadline->start_once(timeout);
+    item->deadline->start_once(limit.whole);
     item->connection.reset(evhttp_connection_base_bufferevent_new(this->base, nullptr, nullptr,
                                                                   to.address.c_str(), to.port));
+    if (limit.silence > duration::zero()) {
+        const timeval silence = to_timeval(limit.silence);
+        evhttp_connection_set_timeout_tv(item->connection.get(), &silence);
+    }
     const auto done = [](evhttp_request* answer, void* context) {
         finish(*static_cast<pending*>(context), answer);
     };
--- a/src/http_call.h
+++ b/src/http_call.h
@@ -24,13 +24,20 @@
 
 using http_handler = std::function<void(const http_response&)>;
 
+/** How long a call may take. */
+struct call_limit {
+    duration whole{};
+    /** Without a byte; zero: as long as the whole. Tells a long answer from a silent peer. */
+    duration silence{};
+};
+
 /** Makes calls and owns them until they are over. */
 class http_caller {
 public:
     explicit http_caller(event_base* base) : base(base) {}
 
     void call(const link_address& to, evhttp_cmd_type method, const std::string& path,
-              const std::vector<header>& headers, const std::string& body, duration timeout,
+              const std::vector<header>& headers, const std::string& body, const call_limit& limit,
               http_handler handler);
 
     /** Frees finished calls; must not be called from within a handler. */
--- a/src/object_watch.cpp
+++ b/src/object_watch.cpp
@@ -34,11 +34,11 @@
 }
 
 /** Makes a call; answers to earlier ones are passed over from now on. */
-void object_watch::call(const std::string& path, duration timeout,
+void object_watch::call(const std::string& path, const call_limit& limit,
                         void (object_watch::*take)(const http_response&))
 {
     const std::uint64_t number = ++this->calls;
-    this->caller.call(this->store, EVHTTP_REQ_GET, path, {}, {}, timeout,
+    this->caller.call(this->store, EVHTTP_REQ_GET, path, {}, {}, limit,
                       [this, number, take](const http_response& response) {
                           if (number == this->calls) (this->*take)(response);
                       });
@@ -47,7 +47,8 @@
 void object_watch::list(const std::string& after)
 {
     if (after.empty()) this->gathered.clear();
-    this->call(this->dialect.list_path(this->kind, after), list_timeout, &object_watch::take_list);
+    this->call(this->dialect.list_path(this->kind, after), {list_timeout, list_silence},
+               &object_watch::take_list);
 }
 
 void object_watch::watch()
@@ -57,7 +58,7 @@
     const auto wait =
         this->answering ? std::chrono::duration_cast<milliseconds>(this->span * part) : probe_wait;
     const duration timeout = this->answering ? wait + wait_grace : probe_timeout;
-    this->call(this->dialect.watch_path(this->kind, this->revision, wait), timeout,
+    this->call(this->dialect.watch_path(this->kind, this->revision, wait), {timeout},
                &object_watch::take_changes);
 }
 
@@ -88,6 +89,7 @@
     }
     this->note_answer();
     object_page page = this->dialect.decode_page(response.body);
+    if (page.truncated && this->changed == 0) this->on_first_part.emit(page.objects);
     std::ranges::move(page.objects, std::back_inserter(this->gathered));
     if (page.truncated && !this->gathered.empty()) {
         this->list(this->gathered.back().name);
--- a/src/object_watch.h
+++ b/src/object_watch.h
@@ -30,7 +30,10 @@
      * silent must not hold the call that would notice its return. */
     static constexpr milliseconds probe_wait = milliseconds(1);
     static constexpr duration probe_timeout = milliseconds(700);
-    static constexpr duration list_timeout = milliseconds(1500);
+    /** A list without a byte for so long is given up; one that is being sent may take longer. When
+     * 300 VMs start at once, each asks for a megabyte of entries, which takes the store seconds. */
+    static constexpr duration list_silence = milliseconds(1500);
+    static constexpr duration list_timeout = seconds(10);
     static constexpr duration first_pause = milliseconds(150);
     static constexpr duration longest_pause = milliseconds(1200);
     /** Between an answer and the next watch, so that changes in quick succession share a call. A
@@ -53,6 +56,8 @@
     /** Time that a watch waits, with jitter. */
     void set_wait(milliseconds span) { this->span = span; }
 
+    /** The objects of a page of the first list; more pages follow. */
+    sigc::signal<void(const std::vector<stored_object>&)> on_first_part;
     /** All objects there are. */
     sigc::signal<void(const std::vector<stored_object>&)> on_list;
     sigc::signal<void(const stored_object&)> on_change;
@@ -71,7 +76,7 @@
     void list(const std::string& after);
     void watch();
     void go_on();
-    void call(const std::string& path, duration timeout,
+    void call(const std::string& path, const call_limit& limit,
               void (object_watch::*take)(const http_response&));
     void take_list(const http_response& response);
     void take_changes(const http_response& response);
--- a/src/registry_feed.cpp
+++ b/src/registry_feed.cpp
@@ -8,6 +8,7 @@
 #include <cereal/types/vector.hpp>
 
 #include "errors.h"
+#include "packed_text.h"
 
 namespace worksshift {
 
@@ -30,13 +31,13 @@
         cereal::PortableBinaryOutputArchive archive(stream);
         archive(update);
     }
-    return stream.str();
+    return pack(stream.str());
 }
 
 registry_update decode_registry_update(const std::string& bytes, const std::string& peer)
 {
     try {
-        std::istringstream stream(bytes);
+        std::istringstream stream(unpack(bytes, peer));
         cereal::PortableBinaryInputArchive archive(stream);
         registry_update update;
         archive(update);
@@ -65,7 +66,7 @@
     }
     this->newest = std::max(this->newest, revision);
     this->changes.push_back({revision, item});
-    if (this->changes.size() > changes_kept) {
+    if (this->changes.size() > std::max(changes_kept_at_least, this->entries.size())) {
         this->floor = this->changes.front().revision;
         this->changes.pop_front();
     }
--- a/src/registry_feed.h
+++ b/src/registry_feed.h
@@ -32,8 +32,9 @@
 
 class registry_feed {
 public:
-    /** Changes that are kept to be passed on one by one. */
-    static constexpr std::size_t changes_kept = 256;
+    /** Changes that are kept to be passed on one by one, at least; and as many as there are
+     * entries, since a release changes each of a quarter of the servers three times in seconds. */
+    static constexpr std::size_t changes_kept_at_least = 256;
 
     void take_list(std::span<const stored_object> all, std::uint64_t revision);
     void take_change(const stored_object& item, std::uint64_t revision);
--- a/src/registry_follower.cpp
+++ b/src/registry_follower.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <limits>
+#include <utility>
 
 #include <event2/keyvalq_struct.h>
 
@@ -24,9 +25,13 @@
 registry_follower::registry_follower(event_base* base, http_caller& caller,
                                      const link_address& store, const protocol& dialect,
                                      server_table& table, fleet_gossip& gossip)
-    : caller(caller), gossip(gossip), registry(table, dialect),
+    : caller(caller), gossip(gossip), table(table), registry(table, dialect),
       watch(base, caller, store, dialect, object_kind::servers)
 {
+    this->watch.on_first_part.connect([this](const std::vector<stored_object>& part) {
+        for (const stored_object& item : part)
+            this->registry.take_change(item, std::chrono::steady_clock::now());
+    });
     this->watch.on_list.connect([this](const std::vector<stored_object>& all) {
         this->apply({this->watch.changed_revision(), true, all});
         this->gossip.hasten();
@@ -86,7 +91,7 @@
     const link_address from = this->gossip.address_of(*newest);
     const std::string path =
         std::string(registry_path) + "?" + since_parameter + "=" + std::to_string(own);
-    this->caller.call(from, EVHTTP_REQ_GET, path, {}, {}, peer_call_timeout,
+    this->caller.call(from, EVHTTP_REQ_GET, path, {}, {}, {peer_call_timeout},
                       [this, from](const http_response& response) {
                           this->asking = false;
                           this->behind_since = instant{};
@@ -137,7 +142,12 @@
         if (text != nullptr) since = std::strtoull(text, nullptr, decimal);
         evhttp_clear_headers(&parameters);
     }
-    const std::string body = encode(this->feed.since(since));
+    if (std::exchange(this->answers_at, this->feed.revision()) != this->feed.revision()) {
+        this->answers.clear();
+    }
+    const auto [found, added] = this->answers.try_emplace(since);
+    if (added) found->second = encode(this->feed.since(since));
+    const std::string& body = found->second;
     evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
     evhttp_send_reply(request, ok, nullptr, nullptr);
 }
--- a/src/registry_follower.h
+++ b/src/registry_follower.h
@@ -3,7 +3,9 @@
  */
 #pragma once
 
+#include <map>
 #include <random>
+#include <string>
 
 #include "fleet_gossip.h"
 #include "http_call.h"
@@ -31,6 +33,9 @@
     void serve(evhttp_request* request) const;
 
     [[nodiscard]] bool known() const { return this->registry.known(); }
+    /** Servers are known, if not all of them yet. Before 3,200 servers the whole list takes 2.4 s
+     * when 310 VMs start at once. */
+    [[nodiscard]] bool usable() const { return this->known() || !this->table.rows().empty(); }
     [[nodiscard]] bool store_reachable() const { return this->watch.reachable(); }
     [[nodiscard]] bool follows() const { return this->watch.follows(); }
 
@@ -45,9 +50,13 @@
 
     http_caller& caller;
     fleet_gossip& gossip;
+    const server_table& table;
     server_registry registry;
     object_watch watch;
     registry_feed feed;
+    /** Answers to other VMs by what they know; most of them ask from the same revision. */
+    mutable std::map<std::uint64_t, std::string> answers;
+    mutable std::uint64_t answers_at = 0; ///< revision of the answers
     bool asking = false;
     instant behind_since{}; ///< another VM knows a newer change; the epoch: none does
     std::minstd_rand random{std::random_device{}()};
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -134,7 +134,7 @@
 void router::start_serving()
 {
     const router_config_ptr& config = this->configuration.config();
-    if (this->serving || config == nullptr || !this->registry.known()) return;
+    if (this->serving || config == nullptr || !this->registry.usable()) return;
     this->serving = true;
     this->path.set_config(config);
     log_event(log_level::info, "serving",
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -109,25 +109,28 @@
     return result;
 }
 
-placed server_table::choose_engine(const placing& wanted, row_list& rows) const
+/** Looks at each server once: sorting them all by rank took 301 us at 1,400 servers, this takes
+ * 38 us (`measure router`). */
+placed server_table::choose_engine(const placing& wanted, const row_list& rows) const
 {
-    const double mean = mean_load(rows);
-    const double bound = load_bound(mean);
-    const std::uint64_t key = wanted.affinity;
-    if (key != 0) {
-        std::ranges::sort(rows, std::greater{}, [key](const server_entry* row) {
-            return rendezvous_weight(key, row->hash);
-        });
+    placed result;
+    result.mean_load = mean_load(rows);
+    const double bound = load_bound(result.mean_load);
+    const auto below_bound = [bound](const server_entry* row) { return row->load() + 1 <= bound; };
+    if (wanted.affinity == 0 || std::ranges::none_of(rows, below_bound)) {
+        result.row = *std::ranges::min_element(rows, {}, &server_entry::load);
+        return result;
     }
-    auto chosen = std::ranges::find_if(
-        rows, [bound](const server_entry* row) { return row->load() + 1 <= bound; });
-    if (key == 0 || chosen == rows.end()) {
-        chosen = std::ranges::min_element(rows, {}, &server_entry::load);
+    std::uint64_t best = 0;
+    for (server_entry* row : rows) {
+        const std::uint64_t weight = rendezvous_weight(wanted.affinity, row->hash);
+        if (!below_bound(row) || (result.row != nullptr && weight <= best)) continue;
+        result.row = row;
+        best = weight;
     }
-    placed result;
-    result.row = *chosen;
-    result.rank = static_cast<std::size_t>(chosen - rows.begin());
-    result.mean_load = mean;
+    result.rank = static_cast<std::size_t>(std::ranges::count_if(rows, [&](const auto* row) {
+        return rendezvous_weight(wanted.affinity, row->hash) > best;
+    }));
     return result;
 }
 
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -109,7 +109,7 @@
     using row_list = std::vector<server_entry*>;
 
     row_list candidates(const placing& wanted, instant now);
-    placed choose_engine(const placing& wanted, row_list& rows) const;
+    [[nodiscard]] placed choose_engine(const placing& wanted, const row_list& rows) const;
     [[nodiscard]] const server_entry* find_cached(const placing& wanted, const server_entry& chosen,
                                                   instant now) const;
     placed choose_plain(row_list& rows);
--- a/test/error/callers_that_ask_badly.cpp
+++ b/test/error/callers_that_ask_badly.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(headers_of_ours);
     CPPUNIT_TEST(pipelined);
     CPPUNIT_TEST(chunked_body);
+    CPPUNIT_TEST(nested_routes);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<path_rig> rig;
@@ -115,6 +116,18 @@
         CPPUNIT_ASSERT(this->rig->run_until([&] { return caller.received.ends_with("served"); }));
     }
 
+    /** Of the routes whose prefix begins the path the longest counts. */
+    void nested_routes()
+    {
+        const router_config_ptr config = this->rig->dialect.decode_config(example_config(1));
+        CPPUNIT_ASSERT_EQUAL(std::string("safe"), config->find("h", "/safe/x")->name);
+        CPPUNIT_ASSERT_EQUAL(std::string("safe"), config->find("h", "/safe/nest")->name);
+        CPPUNIT_ASSERT_EQUAL(std::string("safe/nested"),
+                             config->find("h:80", "/safe/nested/x?a=/b")->name);
+        CPPUNIT_ASSERT(config->find("h", "/saf") == nullptr);
+        CPPUNIT_ASSERT(config->find("other", "/safe/x") == nullptr);
+    }
+
     void headers_of_ours()
     {
         CPPUNIT_ASSERT_EQUAL(
--- a/test/error/servers_that_answer_badly.cpp
+++ b/test/error/servers_that_answer_badly.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(without_length_and_reset);
     CPPUNIT_TEST(answer_before_body_was_read);
     CPPUNIT_TEST(idle_connection_that_closed);
+    CPPUNIT_TEST(what_runs_once_goes_on_a_fresh_connection);
     CPPUNIT_TEST(other_server_at_the_address);
     CPPUNIT_TEST(refusal_is_tried_elsewhere);
     CPPUNIT_TEST(refusal_of_all_is_told);
@@ -195,6 +196,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.connections);
     }
 
+    /** A server may close an idle connection at the moment at which it is used; the outcome of what
+     * may not be repeated would be unknown then. */
+    void what_runs_once_goes_on_a_fresh_connection()
+    {
+        scripted_server& server = this->rig->add_server("a", "desk", good);
+        this->ask(request_text("GET", "/safe/x", "1"));
+        this->rig->run_for(fresh_within + milliseconds(100));
+        this->ask(request_text("GET", "/safe/x", "2"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.connections);
+        this->ask(request_text("POST", "/unsafe/x", "3", "{}"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.connections);
+        this->rig->run_for(fresh_within + milliseconds(100));
+        this->ask(request_text("POST", "/unsafe/x", "4", "{}"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.connections);
+    }
+
     void other_server_at_the_address()
     {
         const auto other = [](const std::string& request) -> scripted_answer {
--- a/test/error/servers_that_leave_or_lapse.cpp
+++ b/test/error/servers_that_leave_or_lapse.cpp
@@ -137,7 +137,7 @@
     {
         registry_feed source;
         source.take_list({}, 10);
-        for (std::uint64_t i = 0; i < registry_feed::changes_kept + 5; ++i)
+        for (std::uint64_t i = 0; i < registry_feed::changes_kept_at_least + 5; ++i)
             source.take_change(entry("s" + std::to_string(i % 7)), 11 + i);
         const registry_update update = source.since(11);
         CPPUNIT_ASSERT(update.whole);
--- a/test/error/store_that_fails.cpp
+++ b/test/error/store_that_fails.cpp
@@ -33,6 +33,7 @@
     std::unique_ptr<object_watch> watch;
     std::vector<stored_object> listed;
     std::vector<stored_object> changed;
+    std::vector<stored_object> early;
     std::size_t lists = 0;
 
     bool run_until(const std::function<bool()>& done, duration limit = seconds(8))
@@ -52,6 +53,9 @@
             this->listed = all;
             ++this->lists;
         });
+        this->watch->on_first_part.connect([this](const std::vector<stored_object>& part) {
+            this->early.insert(this->early.end(), part.begin(), part.end());
+        });
         this->watch->on_change.connect(
             [this](const stored_object& item) { this->changed.push_back(item); });
         this->watch->start();
@@ -68,6 +72,7 @@
                                                      this->dialect, object_kind::servers);
         this->listed.clear();
         this->changed.clear();
+        this->early.clear();
         this->lists = 0;
     }
 
@@ -88,6 +93,12 @@
         this->start();
         CPPUNIT_ASSERT(this->run_until([this] { return this->lists == 1; }));
         CPPUNIT_ASSERT_EQUAL(std::size_t{5}, this->listed.size());
+        // What came before the last page could be used at once; a later list tells nothing early.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, this->early.size());
+        this->store->put("servers", "f", "{}");
+        this->store->forget_history();
+        CPPUNIT_ASSERT(this->run_until([this] { return this->lists == 2; }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, this->early.size());
     }
 
     void changes_come()
@@ -140,11 +151,13 @@
         const std::size_t before = this->store->watches;
         CPPUNIT_ASSERT(this->run_until([&] { return this->store->watches > before; }));
         this->store->fault = store_fault::none;
-        this->store->put("servers", "a", "{}");
         const duration longest = object_watch::probe_timeout + object_watch::longest_pause;
         CPPUNIT_ASSERT(longest < object_watch::default_wait);
+        // Without any change that would answer a waiting call.
         CPPUNIT_ASSERT(
-            this->run_until([this] { return this->changed.size() == 1; }, longest + seconds(1)));
+            this->run_until([this] { return this->watch->reachable(); }, longest + seconds(1)));
+        this->store->put("servers", "a", "{}");
+        CPPUNIT_ASSERT(this->run_until([this] { return this->changed.size() == 1; }, seconds(2)));
     }
 
     void stopped_watch_asks_nothing()
--- a/test/error/streams_that_break.cpp
+++ b/test/error/streams_that_break.cpp
@@ -2,6 +2,8 @@
  * A stream that breaks goes on behind the last whole event where its route allows it, and never
  * looks whole where it does not. A caller that leaves stops its server.
  */
+#include <algorithm>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "support/path_rig.h"
@@ -83,6 +85,14 @@
         raw_caller& caller = this->ask_two(half, "/stream/x");
         CPPUNIT_ASSERT(this->rig->run_until([&] { return looks_whole(caller); }));
         CPPUNIT_ASSERT_EQUAL(all_events(), body_in(caller.received));
+        // The second server is told, so that it does not make the first event again.
+        std::vector<std::string> asked_behind;
+        for (const scripted_server* server : this->rig->all_servers()) {
+            for (const std::string& request : server->requests)
+                asked_behind.push_back(header_in(request, "last-event-id"));
+        }
+        std::ranges::sort(asked_behind);
+        CPPUNIT_ASSERT((asked_behind == std::vector<std::string>{"", "1"}));
     }
 
     void ended_inside_an_event()
--- a/test/fuzz/digests_reach_every_vm.cpp
+++ b/test/fuzz/digests_reach_every_vm.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(loads_after_kills);
     CPPUNIT_TEST(watchers_settle);
     CPPUNIT_TEST(others_watch_when_the_store_refuses);
+    CPPUNIT_TEST(a_new_life_begins_with_nothing);
     CPPUNIT_TEST(a_digest_survives_its_coding);
     CPPUNIT_TEST_SUITE_END();
 
@@ -118,8 +119,10 @@
             [&] {
                 return std::ranges::all_of(fleet.vms, [&](const auto& entry) {
                     const auto near = entry.second.rounds.fleet().near(fleet.now);
-                    const bool told = std::ranges::any_of(
-                        near, [](const fleet_vm* item) { return item->last.watches_store; });
+                    const bool told = std::ranges::any_of(near, [&](const fleet_vm* item) {
+                        return item->last.watches_store &&
+                               fleet.vms.at(digest_fleet::vm_at(item->address)).store_answers;
+                    });
                     return told || (entry.second.duty.watching() && entry.second.store_answers);
                 });
             },
@@ -127,6 +130,30 @@
         CPPUNIT_ASSERT(took <= seconds(1));
     }
 
+    /** A VM that was started anew has nothing under way of what it had before. */
+    static void a_new_life_begins_with_nothing()
+    {
+        const instant now(seconds(100));
+        fleet_table table({1, 7, 1}, {}, now);
+        fleet_digest digest;
+        digest.incarnation = 5;
+        digest.sequence = 9;
+        digest.data_centre = 7;
+        digest.own_loads = {0, 1, {{11, 3}, {12, 4}}};
+        table.take(2, digest, now);
+        digest.sequence = 8;
+        digest.own_loads = {0, 1, {{11, 1}}};
+        CPPUNIT_ASSERT(table.take(2, digest, now) == nullptr);
+        CPPUNIT_ASSERT_EQUAL(4U, load_at(table.vms().at(2).own_loads.entries(), 12));
+        digest.incarnation = 6;
+        digest.sequence = 1;
+        // A part of its table only: the rest must not be that of its former life.
+        digest.own_loads = {1, 2, {{11, 1}}};
+        CPPUNIT_ASSERT(table.take(2, digest, now) != nullptr);
+        CPPUNIT_ASSERT_EQUAL(0U, load_at(table.vms().at(2).own_loads.entries(), 12));
+        CPPUNIT_ASSERT_EQUAL(1U, load_at(table.vms().at(2).own_loads.entries(), 11));
+    }
+
     static void a_digest_survives_its_coding()
     {
         const bool held = rc::check("decoding gives what was encoded", [] {
--- a/test/performance/router.cpp
+++ b/test/performance/router.cpp
@@ -102,11 +102,38 @@
                static_cast<double>(fleet.store->watches + fleet.store->lists - calls) / s, "per_s");
 }
 
+/** Choosing an engine for a prompt, of so many. */
+void measure_choice(std::size_t servers, figures& shown)
+{
+    constexpr int rounds = 400;
+    server_table table({"dc"});
+    for (std::size_t i = 0; i < servers; ++i) {
+        server_record record;
+        record.id.text = "i-" + std::to_string(i);
+        record.service.text = "llm";
+        table.put(record);
+        table.find(record.id)->peers_in_flight = static_cast<std::uint32_t>(i % 7);
+    }
+    const instant now(seconds(1));
+    std::size_t sum = 0;
+    const instant begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < rounds; ++i) {
+        const auto key = static_cast<std::uint64_t>(i) * 7919 + 1;
+        sum += table.choose({{"llm"}, true, key, {}}, now).load;
+    }
+    const std::chrono::duration<double, std::micro> span = std::chrono::steady_clock::now() - begin;
+    shown.at_most("router.choice_of_" + std::to_string(servers), span.count() / rounds, "us", 200);
+    shown.note("router.choice_of_" + std::to_string(servers) + ".sum", static_cast<double>(sum),
+               "requests");
+}
+
 } // namespace
 
 int main()
 {
     figures shown;
+    for (const std::size_t servers : {93, 1400, 3000})
+        measure_choice(servers, shown);
     measure_path(shown);
     for (const std::size_t vms : {4, 16, 48})
         measure_control(vms, shown);
--- a/test/support/digest_fleet.cpp
+++ b/test/support/digest_fleet.cpp
@@ -35,6 +35,11 @@
     this->vms.try_emplace(vm, self, seeds, this->now);
 }
 
+std::size_t digest_fleet::vm_at(std::uint32_t address)
+{
+    return address - first_address;
+}
+
 load_table digest_fleet::truth_without(std::size_t without) const
 {
     load_table sums;
@@ -94,7 +99,7 @@
     state.busy = item.busy;
     for (const outgoing_digest& made : item.rounds.next(std::move(state), this->now)) {
         for (const std::uint32_t address : made.to) {
-            const std::size_t to = address - first_address;
+            const std::size_t to = vm_at(address);
             item.bytes_sent += made.bytes.size();
             if (this->data_centre_of(to) != this->data_centre_of(vm)) {
                 item.bytes_across += made.bytes.size();
--- a/test/support/digest_fleet.h
+++ b/test/support/digest_fleet.h
@@ -51,6 +51,8 @@
     {
         return vm % this->data_centres;
     }
+    /** The VM at an address. */
+    [[nodiscard]] static std::size_t vm_at(std::uint32_t address);
     /** Requests of all live VMs but one at each server. */
     [[nodiscard]] worksshift::load_table truth_without(std::size_t vm) const;
 
--- a/test/support/path_rig.cpp
+++ b/test/support/path_rig.cpp
@@ -211,6 +211,13 @@
     return *this->raw_callers.back();
 }
 
+std::vector<const scripted_server*> path_rig::all_servers() const
+{
+    std::vector<const scripted_server*> all(this->servers.size());
+    std::ranges::transform(this->servers, all.begin(), [](const auto& item) { return item.get(); });
+    return all;
+}
+
 bool path_rig::run_until(const std::function<bool()>& done)
 {
     const instant limit = std::chrono::steady_clock::now() + seconds(5);
@@ -237,9 +244,10 @@
     };
     return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" +
            route("safe", "safe", "desk", R"(,"attempts":2)") + "," +
-           route("unsafe", "unsafe", "desk", R"(,"attempts":1)") + "," +
+           route("unsafe", "unsafe", "desk", R"(,"attempts":2)") + "," +
            route("stream", "stream", "llm", R"(,"attempts":2,"resumable":true)") + "," +
-           route("once", "stream", "llm", R"(,"attempts":1,"resumable":false)") + "," +
+           route("once", "stream", "llm", R"(,"attempts":2,"resumable":false)") + "," +
+           route("safe/nested", "safe", "llm", R"(,"attempts":1)") + "," +
            route("open", "safe", "desk", R"(,"attempts":2,"public":true)") +
            R"(],"services":[{"name":"llm","engine":{"slots":64}},{"name":"desk"}],)" +
            R"("limits":{"maxHeaderBytes":2048,"maxBodyBytes":4096,"headerTimeoutMs":200,)" +
--- a/test/support/path_rig.h
+++ b/test/support/path_rig.h
@@ -84,6 +84,7 @@
     scripted_server& add_server(const std::string& id, const std::string& service,
                                 scripted_server::script answer);
     raw_caller& add_caller();
+    [[nodiscard]] std::vector<const scripted_server*> all_servers() const;
     /** Runs the loop until \p done or for five seconds; false then. */
     bool run_until(const std::function<bool()>& done);
     void run_for(worksshift::duration span);
