Status of a router by the operators' command

Cause: 'worksshift status' knew the fleet of gates only; on the platform an engineer had metrics and logs, but nothing that tells what a router believes of VMs and servers. Change: GET /admin/status on the metrics address, in the shape that the command already prints; no token is asked for, as it changes nothing. Test: status_tells_what_a_router_believes (three VMs, a draining server, the version in force).

--- a/apps/worksshift.cpp
+++ b/apps/worksshift.cpp
@@ -48,7 +48,8 @@
   worksshift watch PLAN                  waits until it is confirmed and in force on every live node
   worksshift completion                  a completion script for bash
 
-Environment: WORKSSHIFT_ADMIN=ADDRESS:PORT of any node, WORKSSHIFT_TOKEN=an operator's token
+Environment: WORKSSHIFT_ADMIN=ADDRESS:PORT of any node, WORKSSHIFT_TOKEN=an operator's token;
+for status of a worksshift-router its metrics address, and no token
 Exit codes: 0 done, 1 refused, 2 bad usage, 3 the node did not answer, 4 not in force in time
 )";
 
@@ -73,12 +74,12 @@
     {
         const char* address = std::getenv("WORKSSHIFT_ADMIN");
         const char* given = std::getenv("WORKSSHIFT_TOKEN");
-        if (address == nullptr || given == nullptr) {
-            throw user_error("settings", "",
-                             "set WORKSSHIFT_ADMIN=ADDRESS:PORT and WORKSSHIFT_TOKEN");
+        if (address == nullptr) {
+            throw user_error("settings", "", "set WORKSSHIFT_ADMIN=ADDRESS:PORT");
         }
         this->target = parse_address("WORKSSHIFT_ADMIN", address);
-        this->token = given;
+        // A router's status asks for none.
+        if (given != nullptr) this->token = given;
     }
 
     http_response call(evhttp_cmd_type method, const std::string& path, const std::string& body)
--- a/src/fleet_gossip.cpp
+++ b/src/fleet_gossip.cpp
@@ -34,15 +34,6 @@
     return numbers;
 }
 
-std::string to_text(std::uint32_t address)
-{
-    in_addr number{};
-    number.s_addr = htonl(address);
-    std::array<char, INET_ADDRSTRLEN> text{};
-    inet_ntop(AF_INET, &number, text.data(), text.size());
-    return text.data();
-}
-
 fleet_table::identity identify(const link_address& listen, const data_centre_id& data_centre)
 {
     return {to_number(listen), static_cast<std::uint32_t>(data_centre.hash()),
--- a/src/link_address.cpp
+++ b/src/link_address.cpp
@@ -1,5 +1,6 @@
 #include "link_address.h"
 
+#include <array>
 #include <charconv>
 
 #include <arpa/inet.h>
@@ -13,6 +14,15 @@
     return from.address + ":" + std::to_string(from.port);
 }
 
+std::string to_text(std::uint32_t address)
+{
+    in_addr number{};
+    number.s_addr = htonl(address);
+    std::array<char, INET_ADDRSTRLEN> text{};
+    inet_ntop(AF_INET, &number, text.data(), text.size());
+    return text.data();
+}
+
 sockaddr_in to_socket_address(const link_address& from)
 {
     sockaddr_in made{};
--- a/src/link_address.h
+++ b/src/link_address.h
@@ -20,6 +20,9 @@
 /** `ADDRESS:PORT`. */
 std::string to_string(const link_address& from);
 
+/** An IPv4 number in host order as text. */
+std::string to_text(std::uint32_t address);
+
 /** For the system's socket calls. */
 sockaddr_in to_socket_address(const link_address& from);
 
--- a/src/registry_follower.h
+++ b/src/registry_follower.h
@@ -36,6 +36,7 @@
     /** Servers are known, if not all of them yet. Before 3,200 servers the whole list takes 2.4 s
      * when 310 VMs start at once. */
     [[nodiscard]] bool usable() const { return this->known() || !this->table.rows().empty(); }
+    [[nodiscard]] std::uint64_t revision() const { return this->feed.revision(); }
     [[nodiscard]] bool store_reachable() const { return this->watch.reachable(); }
     [[nodiscard]] bool follows() const { return this->watch.follows(); }
 
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -6,6 +6,7 @@
 
 #include "errors.h"
 #include "process.h"
+#include "router_status.h"
 
 namespace worksshift {
 
@@ -222,6 +223,26 @@
             reply(request, ok, static_cast<router*>(self)->metrics_text());
         },
         this);
+    evhttp_set_cb(
+        this->metrics_http.get(), status_path,
+        [](evhttp_request* request, void* self) {
+            reply(request, ok, static_cast<router*>(self)->status_text());
+        },
+        this);
+}
+
+std::string router::status_text() const
+{
+    const router_view view{this->options.vm,
+                           this->options.data_centre,
+                           this->configuration.version(),
+                           this->registry.revision(),
+                           this->path.active(),
+                           this->serving,
+                           this->stopping,
+                           this->registry.store_reachable(),
+                           this->duty.watching()};
+    return write_status(view, this->gossip.fleet(), this->servers, now());
 }
 
 std::string router::metrics_text() const
--- a/src/router.h
+++ b/src/router.h
@@ -48,6 +48,7 @@
     void serve_metrics();
     [[nodiscard]] bool ready() const;
     [[nodiscard]] std::string metrics_text() const;
+    [[nodiscard]] std::string status_text() const;
     void check_settings_file(instant now);
     void reload_settings(std::string_view cause);
     void stop();
--- a/test/correctness/router_fleet_serves.cpp
+++ b/test/correctness/router_fleet_serves.cpp
@@ -4,6 +4,7 @@
  */
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "router_status.h"
 #include "support/router_fleet.h"
 #include "watch_duty.h"
 
@@ -21,6 +22,7 @@
     CPPUNIT_TEST(planned_stop_cuts_nothing);
     CPPUNIT_TEST(late_requests_of_a_stop_are_not_taken);
     CPPUNIT_TEST(few_watch_the_store);
+    CPPUNIT_TEST(status_tells_what_a_router_believes);
     CPPUNIT_TEST_SUITE_END();
 
     static scripted_answer good(const std::string& request)
@@ -157,6 +159,32 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), fleet->ask(0, request_text("GET", "/safe/x", "3")));
     }
 
+    static void status_tells_what_a_router_believes()
+    {
+        const auto fleet = served_fleet(3);
+        const auto status = [&] {
+            return nlohmann::json::parse(body_in(fleet->metrics(1, status_path)));
+        };
+        CPPUNIT_ASSERT(fleet->run_until([&] { return status()["vms"].size() == 3; }, seconds(5)));
+        fleet->set_server_state("b", "draining");
+        fleet->set_config(example_config(7));
+        CPPUNIT_ASSERT(fleet->run_until([&] { return status()["revision"] == 7; }, seconds(5)));
+        const auto told = [&] {
+            const nlohmann::json now = status();
+            return now["servers"].size() == 2 && now["servers"][0]["server"] == "a" &&
+                   now["servers"][0]["accepting"] == true && now["servers"][1]["draining"] == true;
+        };
+        CPPUNIT_ASSERT(fleet->run_until(told, seconds(5)));
+        CPPUNIT_ASSERT(status()["alarms"].empty());
+        const auto all_alive = [&] {
+            const nlohmann::json now = status();
+            return std::ranges::all_of(now["vms"], [](const nlohmann::json& vm) {
+                return vm["state"] == "alive" && vm["revision"] == 7;
+            });
+        };
+        CPPUNIT_ASSERT(fleet->run_until(all_alive, seconds(5)));
+    }
+
     /** Three of eight VMs wait for a change at the store, so each change answers three calls. */
     static void few_watch_the_store()
     {
--- a/test/support/router_fleet.cpp
+++ b/test/support/router_fleet.cpp
@@ -120,10 +120,10 @@
     return status_in(caller.received) == 200;
 }
 
-std::string router_fleet::metrics(std::size_t router)
+std::string router_fleet::metrics(std::size_t router, const std::string& path)
 {
     raw_caller caller(this->base.get(), {this->address_of(router), this->metrics_port});
-    caller.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    caller.send("GET " + path + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
     this->run_until([&] { return caller.closed; }, seconds(2));
     return caller.received;
 }
--- a/test/support/router_fleet.h
+++ b/test/support/router_fleet.h
@@ -42,8 +42,8 @@
     /** Whether the router says that it takes callers. */
     bool ready(std::size_t router);
     bool all_ready();
-    /** The router's counters and histograms as text. */
-    std::string metrics(std::size_t router);
+    /** What the router serves on its metrics port, with the answer's head. */
+    std::string metrics(std::size_t router, const std::string& path = "/metrics");
     bool run_until(const std::function<bool()>& done, worksshift::duration limit);
 
     worksshift::event_ptr<event_base> base;
