--- a/src/protocol.h
+++ b/src/protocol.h
@@ -35,8 +35,6 @@
     std::string api_key; ///< empty: none was given
     std::optional<milliseconds> deadline;
     std::vector<prompt_part> prompt;
-    std::uint32_t prompt_tokens = 0;
-    std::uint32_t answer_tokens = 0; ///< at most
     std::optional<std::uint64_t> last_event_id;
 };
 
@@ -50,18 +48,10 @@
     std::string_view fetch_from;               ///< address of a server that has the prompt cached
 };
 
-/** Work of a server as it told with an answer. */
-struct server_load {
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
-    std::uint32_t slots = 0;
-};
-
 /** What a server's answer says beside its status. */
 struct answer_facts {
-    std::string request_id;    ///< echoed; empty: none
-    bool not_executed = false; ///< the server states that it did not run the request
-    std::optional<server_load> load;
+    std::string request_id;              ///< echoed; empty: none
+    bool not_executed = false;           ///< the server states that it did not run the request
     std::optional<seconds> idle_timeout; ///< of the connection
     bool close = false;                  ///< the server closes the connection, or is leaving
 };
