Watchers that stop are followed by a few; seeds may change; long lists are logged in one line

Seeds of changed settings were not taken. 3,000 lines at a start filled the log's bound, so that 'serving' was left out. Change: a VM waits 0.1 s for each that comes before it and does not watch yet, and tells at once that it does; a reload takes further seeds; a list with over 100 news is one line.

--- a/src/fleet_gossip.cpp
+++ b/src/fleet_gossip.cpp
@@ -70,6 +70,11 @@
     return {to_text(item.address), this->own.port};
 }
 
+void fleet_gossip::add_seeds(std::span<const link_address> seeds)
+{
+    this->rounds.add_seeds(to_numbers(seeds), now());
+}
+
 void fleet_gossip::tick(instant time, const std::function<own_state()>& describe)
 {
     if (!this->rounds.due(time)) return;
--- a/src/fleet_gossip.h
+++ b/src/fleet_gossip.h
@@ -33,6 +33,8 @@
 
     /** Sends the round that is due. */
     void tick(instant now, const std::function<own_state()>& describe);
+    /** Further VMs to begin with. */
+    void add_seeds(std::span<const link_address> seeds);
     /** There is news: sends the next round early. */
     void hasten() { this->rounds.hasten(); }
 
--- a/src/fleet_rounds.cpp
+++ b/src/fleet_rounds.cpp
@@ -12,6 +12,14 @@
 {
 }
 
+void fleet_rounds::add_seeds(std::span<const std::uint32_t> given, instant now)
+{
+    for (const std::uint32_t seed : given) {
+        if (std::ranges::find(this->seeds, seed) == this->seeds.end()) this->seeds.push_back(seed);
+    }
+    this->table.add_seeds(given, now);
+}
+
 void fleet_rounds::hasten()
 {
     this->next_round = std::min(this->next_round, this->last_round + hastened_period);
--- a/src/fleet_rounds.h
+++ b/src/fleet_rounds.h
@@ -55,6 +55,8 @@
     [[nodiscard]] bool due(instant now) const { return now >= this->next_round; }
     /** The datagrams of the round that is due. */
     std::vector<outgoing_digest> next(own_state state, instant now);
+    /** Further VMs to begin with, as when the settings name others than before. */
+    void add_seeds(std::span<const std::uint32_t> seeds, instant now);
     /** There is news: the next round comes early. */
     void hasten();
 
--- a/src/fleet_table.cpp
+++ b/src/fleet_table.cpp
@@ -20,10 +20,17 @@
 } // namespace
 
 fleet_table::fleet_table(const identity& self, std::span<const std::uint32_t> given, instant now)
-    : own(self), seeds(given.begin(), given.end()), started(now), heard_any_at(now)
+    : own(self), started(now), heard_any_at(now)
 {
-    for (const std::uint32_t seed : this->seeds)
+    this->add_seeds(given, now);
+}
+
+void fleet_table::add_seeds(std::span<const std::uint32_t> given, instant now)
+{
+    for (const std::uint32_t seed : given) {
+        if (std::ranges::find(this->seeds, seed) == this->seeds.end()) this->seeds.push_back(seed);
         this->learn(seed, 0, instant{}, now);
+    }
 }
 
 void fleet_table::learn(std::uint32_t address, std::uint32_t data_centre, instant alive,
--- a/src/fleet_table.h
+++ b/src/fleet_table.h
@@ -57,6 +57,7 @@
 
     fleet_table(const identity& self, std::span<const std::uint32_t> seeds, instant now);
 
+    void add_seeds(std::span<const std::uint32_t> given, instant now);
     /** Takes a digest that came from an address. Returns its sender; nullptr when it is older than
      * one that came before. */
     const fleet_vm* take(std::uint32_t from, fleet_digest digest, instant now);
--- a/src/registry_follower.cpp
+++ b/src/registry_follower.cpp
@@ -28,10 +28,8 @@
     : caller(caller), gossip(gossip), table(table), registry(table, dialect),
       watch(base, caller, store, dialect, object_kind::servers)
 {
-    this->watch.on_first_part.connect([this](const std::vector<stored_object>& part) {
-        for (const stored_object& item : part)
-            this->registry.take_change(item, std::chrono::steady_clock::now());
-    });
+    this->watch.on_first_part.connect(
+        [this](const std::vector<stored_object>& part) { this->registry.take_part(part); });
     this->watch.on_list.connect([this](const std::vector<stored_object>& all) {
         this->apply({this->watch.changed_revision(), true, all});
         this->gossip.hasten();
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -145,7 +145,10 @@
 /** Configuration and servers, from the store or from other VMs. */
 void router::follow_store(instant time)
 {
+    const bool watched = this->duty.watching();
     this->duty.update(this->gossip.fleet(), time);
+    // Told at once, so that no more VMs than needed begin to watch.
+    if (!watched && this->duty.watching()) this->gossip.hasten();
     this->configuration.tick(time, this->duty.watching());
     this->registry.tick(time, this->duty.watching());
 }
@@ -284,6 +287,7 @@
         this->options.level = given.level;
         this->options.retries = given.retries;
         this->options.stop_grace = given.stop_grace;
+        this->gossip.add_seeds(given.seeds);
         set_log_level(given.level);
         this->path.set_budget(given.retries);
         log_event(log_level::info, "reloaded", {{"cause", cause}});
--- a/src/server_registry.cpp
+++ b/src/server_registry.cpp
@@ -14,8 +14,20 @@
         const bool found = std::ranges::find(all, id.text, &stored_object::name) != all.end();
         if (!found && !row.gone) this->missing.try_emplace(id, now);
     }
-    for (const stored_object& item : all)
-        this->put(item);
+    this->take_part(all);
+}
+
+void server_registry::take_part(std::span<const stored_object> part)
+{
+    const bool few = part.size() <= this->table.rows().size() + logged_one_by_one;
+    const logging told = few ? logging::each : logging::none;
+    const auto changed = std::ranges::count_if(
+        part, [&](const stored_object& item) { return this->put(item, told); });
+    log_event(log_level::info, "servers_listed",
+              {{"servers", part.size()},
+               {"changed", changed},
+               {"missing", this->missing.size()},
+               {"each_logged", few ? 1 : 0}});
 }
 
 void server_registry::take_change(const stored_object& item, instant now)
@@ -23,26 +35,30 @@
     if (item.removed) {
         this->missing.try_emplace(server_id{item.name}, now);
     } else {
-        this->put(item);
+        this->put(item, logging::each);
     }
 }
 
-void server_registry::put(const stored_object& item)
+bool server_registry::put(const stored_object& item, logging told)
 {
     try {
         const server_record record = this->dialect.decode_server(item);
         this->missing.erase(record.id);
-        if (!this->table.put(record)) return;
-        log_event(log_level::info, "server_listed",
-                  {{"server", record.id.text},
-                   {"service", record.service.text},
-                   {"address", to_string(record.address)},
-                   {"draining", record.draining ? 1 : 0},
-                   {"revision", item.revision}});
+        if (!this->table.put(record)) return false;
+        if (told == logging::each) {
+            log_event(log_level::info, "server_listed",
+                      {{"server", record.id.text},
+                       {"service", record.service.text},
+                       {"address", to_string(record.address)},
+                       {"draining", record.draining ? 1 : 0},
+                       {"revision", item.revision}});
+        }
         if (record.draining) this->on_leaving.emit(record.id);
+        return true;
     } catch (const error& fault) {
         log_event(log_level::error, "server_unreadable",
                   {{"server", item.name}, {"step", fault.step}, {"reason", fault.what()}});
+        return false;
     }
 }
 
--- a/src/server_registry.h
+++ b/src/server_registry.h
@@ -24,6 +24,9 @@
     static constexpr duration lapsed_kept_for = milliseconds(2300);
     /** After a single entry went soon after the store's return. */
     static constexpr duration leaving_kept_for = milliseconds(1500);
+    /** Of a list with more news than this, one line is logged and not one a server: 3,000 lines at
+     * a start would fill the log's bound, and what matters would be left out. */
+    static constexpr std::size_t logged_one_by_one = 100;
     /** From this share of a service's servers on, entries have lapsed, and do not leave. */
     static constexpr double lapsed_share = 0.5;
 
@@ -33,6 +36,8 @@
 
     /** All entries there are. */
     void take_list(std::span<const stored_object> all, instant now);
+    /** Some of the entries there are. */
+    void take_part(std::span<const stored_object> part);
     void take_change(const stored_object& item, instant now);
     /** Takes out what is gone for good. \p store_regained is when the store last came back. */
     void sweep(instant now, instant store_regained);
@@ -44,7 +49,10 @@
     sigc::signal<void(const server_id&)> on_leaving;
 
 private:
-    void put(const stored_object& item);
+    enum class logging : std::uint8_t { each, none };
+
+    /** Returns whether anything changed. */
+    bool put(const stored_object& item, logging told);
     void remove(const server_id& id);
     [[nodiscard]] bool lapsed_together(const service_id& service) const;
 
--- a/src/watch_duty.h
+++ b/src/watch_duty.h
@@ -22,6 +22,11 @@
      * does not count. */
     static constexpr int watcher_periods = 4;
     static constexpr duration watcher_heard_within = milliseconds(700);
+    /** When watchers are missing, each VM waits for so long for each that comes before it and does
+     * not watch yet, so that a few take over and not all: in a fleet of 80 VMs whose watchers
+     * stopped in turn 66 began at once. */
+    static constexpr duration turn = milliseconds(100);
+    static constexpr duration longest_turn = milliseconds(800);
     /** Others must watch for so long before this VM stops to: they may be as new as it is. */
     static constexpr duration watched_enough_for = milliseconds(700);
 
@@ -32,6 +37,7 @@
 private:
     bool active = true;
     instant watched_since{}; ///< enough others watch; the epoch: they do not
+    instant missing_since{}; ///< too few others watch; the epoch: enough do
 };
 
 } // namespace worksshift
--- a/test/fuzz/digests_reach_every_vm.cpp
+++ b/test/fuzz/digests_reach_every_vm.cpp
@@ -47,7 +47,9 @@
     CPPUNIT_TEST(loads);
     CPPUNIT_TEST(loads_after_kills);
     CPPUNIT_TEST(watchers_settle);
+    CPPUNIT_TEST(few_take_over_from_watchers_that_leave);
     CPPUNIT_TEST(others_watch_when_the_store_refuses);
+    CPPUNIT_TEST(seeds_can_be_added);
     CPPUNIT_TEST(a_new_life_begins_with_nothing);
     CPPUNIT_TEST(a_digest_survives_its_coding);
     CPPUNIT_TEST_SUITE_END();
@@ -107,6 +109,33 @@
         CPPUNIT_ASSERT(held);
     }
 
+    /** VMs that stop in turn, as in an upgrade: their place is taken by few, not by all. */
+    static void few_take_over_from_watchers_that_leave()
+    {
+        digest_fleet fleet(80, 4, 3);
+        fleet.run(seconds(10));
+        for (auto& [vm, item] : fleet.vms)
+            item.duties = 0;
+        std::size_t left = 0;
+        for (std::size_t centre = 0; centre < 4; ++centre) {
+            for (auto& [vm, item] : fleet.vms) {
+                if (fleet.data_centre_of(vm) != centre || !item.duty.watching()) continue;
+                item.leaving = true;
+                item.rounds.hasten();
+                ++left;
+                fleet.run(seconds(2));
+                break;
+            }
+        }
+        fleet.run(seconds(4));
+        std::size_t began = 0;
+        for (const auto& [vm, item] : fleet.vms)
+            began += item.duties;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, left);
+        CPPUNIT_ASSERT(began >= left);
+        CPPUNIT_ASSERT(began <= 3 * left);
+    }
+
     static void others_watch_when_the_store_refuses()
     {
         digest_fleet fleet(40, 4, 1);
@@ -130,6 +159,26 @@
         CPPUNIT_ASSERT(took <= seconds(1));
     }
 
+    /** Settings that change may name VMs to begin with when all former ones are gone. */
+    static void seeds_can_be_added()
+    {
+        const instant now(seconds(100));
+        fleet_rounds rounds({1, 7, 1}, {}, now);
+        const auto recipients = [](const std::vector<outgoing_digest>& round) {
+            std::vector<std::uint32_t> all;
+            for (const outgoing_digest& item : round)
+                all.insert(all.end(), item.to.begin(), item.to.end());
+            return all;
+        };
+        CPPUNIT_ASSERT(recipients(rounds.next({}, now)).empty());
+        const std::vector<std::uint32_t> seeds{2, 3};
+        rounds.add_seeds(seeds, now);
+        rounds.add_seeds(seeds, now);
+        const auto told = recipients(rounds.next({}, now + seconds(1)));
+        CPPUNIT_ASSERT(std::ranges::find(told, 2U) != told.end());
+        CPPUNIT_ASSERT(std::ranges::find(told, 3U) != told.end());
+    }
+
     /** A VM that was started anew has nothing under way of what it had before. */
     static void a_new_life_begins_with_nothing()
     {
--- a/test/support/digest_fleet.cpp
+++ b/test/support/digest_fleet.cpp
@@ -74,7 +74,12 @@
         this->deliver(item);
     }
     for (auto& [vm, item] : this->vms) {
+        const bool before = item.duty.watching();
         item.duty.update(item.rounds.fleet(), this->now);
+        if (!before && item.duty.watching()) {
+            ++item.duties;
+            item.rounds.hasten();
+        }
         if (item.rounds.due(this->now)) this->send_round(vm);
     }
 }
@@ -94,6 +99,7 @@
     own_state state;
     state.digest.config_version = item.config_version;
     state.digest.watches_store = item.duty.watching() && item.store_answers;
+    state.digest.leaving = item.leaving;
     state.loads = item.loads;
     state.servers = this->servers;
     state.busy = item.busy;
--- a/test/support/digest_fleet.h
+++ b/test/support/digest_fleet.h
@@ -30,6 +30,8 @@
     std::vector<std::uint32_t> busy;
     std::uint64_t config_version = 1;
     bool store_answers = true;
+    bool leaving = false;
+    std::size_t duties = 0; ///< times that it began to watch
     std::uint64_t bytes_sent = 0;
     std::uint64_t bytes_received = 0;
     std::uint64_t bytes_across = 0; ///< sent to other data centres
