One listener of loopback for tests; names of digests say what they mean

Cause: three fakes opened a listening socket of their own, each with its reset; 'young', 'courted' and 'teller' were metaphors. Ruled out: a change of behaviour; the wire format keeps its fields and order. Change: support::loopback_listener serves all three; joining, new_vm_period, load_publisher.

--- a/src/fleet_digest.cpp
+++ b/src/fleet_digest.cpp
@@ -67,7 +67,7 @@
 {
     archive(item.format, item.incarnation, item.sequence, item.data_centre, item.period_ms,
             item.config_version, item.servers_revision, item.store_back, item.watches_store,
-            item.leaving, item.young, item.own_loads, item.centre_loads, item.distant_loads);
+            item.leaving, item.joining, item.own_loads, item.centre_loads, item.distant_loads);
     save_items(archive, item.vms);
 }
 
@@ -77,7 +77,7 @@
     archive(item.format);
     if (item.format != known_format) throw peer_error("digest", "", "another format");
     archive(item.incarnation, item.sequence, item.data_centre, item.period_ms, item.config_version,
-            item.servers_revision, item.store_back, item.watches_store, item.leaving, item.young,
+            item.servers_revision, item.store_back, item.watches_store, item.leaving, item.joining,
             item.own_loads, item.centre_loads, item.distant_loads);
     load_items(archive, item.vms);
 }
--- a/src/fleet_digest.h
+++ b/src/fleet_digest.h
@@ -56,7 +56,7 @@
     std::uint16_t store_back = 0;       ///< hundredths of a second since the store came back to it
     bool watches_store = false;         ///< asks the store for changes, which answers it
     bool leaving = false;
-    bool young = false;      ///< knows few VMs yet: whoever hears it should answer
+    bool joining = false;    ///< knows few VMs yet: whoever hears it should answer
     load_part own_loads;     ///< requests of the sender
     load_part centre_loads;  ///< requests of all VMs of the sender's data centre
     load_part distant_loads; ///< requests of the other data centres, as the sender was told
--- a/src/fleet_rounds.cpp
+++ b/src/fleet_rounds.cpp
@@ -34,11 +34,11 @@
     digest.incarnation = this->table.self().incarnation;
     digest.data_centre = this->table.self().data_centre;
     digest.period_ms = static_cast<std::uint16_t>(this->between / milliseconds(1));
-    digest.young = this->table.is_young(now);
+    digest.joining = this->table.is_joining(now);
     std::vector<outgoing_digest> all;
     all.push_back(this->to_near(digest, now));
     this->add_distant(all, digest, now);
-    all.push_back(this->to_young(digest, now));
+    all.push_back(this->to_joining(digest, now));
     ++this->rounds;
     this->space_rounds(all);
     this->last_round = now;
@@ -68,7 +68,7 @@
     const bool trial = this->rounds % rounds_between_trials == 0;
     for (const auto& [address, item] : this->table.vms()) {
         if (!this->table.is_near(item)) continue;
-        const bool new_here = now - item.known_since < courted_for;
+        const bool new_here = now - item.known_since < new_vm_period;
         if (trial || new_here || fleet_table::is_heard(item, now)) made.to.push_back(address);
     }
     return made;
@@ -85,17 +85,17 @@
 }
 
 /** Answers VMs that know few others yet, and makes this one known while it is one of them. */
-outgoing_digest fleet_rounds::to_young(fleet_digest digest, instant now)
+outgoing_digest fleet_rounds::to_joining(fleet_digest digest, instant now)
 {
     outgoing_digest made;
     for (auto& [address, item] : this->table.vms()) {
         const bool seed =
-            digest.young && std::ranges::find(this->seeds, address) != this->seeds.end();
+            digest.joining && std::ranges::find(this->seeds, address) != this->seeds.end();
         if (std::exchange(item.to_answer, false) || seed) made.to.push_back(address);
     }
     if (made.to.empty()) return made;
     digest.sequence = ++this->sequence;
-    digest.vms = this->table.rumours(rumours_to_young, now);
+    digest.vms = this->table.rumours(rumours_to_joining, now);
     made.bytes = encode(digest);
     return made;
 }
--- a/src/fleet_rounds.h
+++ b/src/fleet_rounds.h
@@ -24,9 +24,9 @@
 constexpr duration hastened_period = milliseconds(50);
 /** Near VMs that are silent are sent to in every so many rounds. */
 constexpr unsigned rounds_between_trials = 8;
-/** Rumours in a digest: to all, and to a VM that is young. */
+/** Rumours in a digest: to all, and to a VM that is joining. */
 constexpr std::size_t rumours_told = 3;
-constexpr std::size_t rumours_to_young = 16;
+constexpr std::size_t rumours_to_joining = 16;
 
 /** What a VM says of itself in a round. */
 struct own_state {
@@ -69,7 +69,7 @@
 private:
     outgoing_digest to_near(fleet_digest digest, instant now);
     void add_distant(std::vector<outgoing_digest>& all, fleet_digest digest, instant now);
-    outgoing_digest to_young(fleet_digest digest, instant now);
+    outgoing_digest to_joining(fleet_digest digest, instant now);
     void space_rounds(std::span<const outgoing_digest> sent);
 
     std::vector<std::uint32_t> seeds;
--- a/src/fleet_table.cpp
+++ b/src/fleet_table.cpp
@@ -62,7 +62,7 @@
     }
     item.heard_at = now;
     this->heard_any_at = now;
-    item.to_answer = digest.young;
+    item.to_answer = digest.joining;
     for (const vm_rumour& rumour : digest.vms)
         this->learn(rumour.address, rumour.data_centre, now - rumour.age * age_unit, now);
     item.own_loads.take(std::exchange(digest.own_loads, {}));
@@ -124,9 +124,9 @@
     return static_cast<std::size_t>(others) + 1;
 }
 
-bool fleet_table::is_young(instant now) const
+bool fleet_table::is_joining(instant now) const
 {
-    return now - this->started < young_for || now - this->heard_any_at > young_for;
+    return now - this->started < joining_for || now - this->heard_any_at > joining_for;
 }
 
 std::vector<vm_rumour> fleet_table::rumours(std::size_t count, instant now)
--- a/src/fleet_table.h
+++ b/src/fleet_table.h
@@ -29,9 +29,9 @@
 /** A VM is remembered, and told of this one, for so long after it was last known to live. */
 constexpr duration forget_after = seconds(60);
 /** A VM that was only just heard of is sent to in each round for so long, heard or not. */
-constexpr duration courted_for = seconds(2);
+constexpr duration new_vm_period = seconds(2);
 /** A VM asks to be answered for so long after its start, and while it hears nobody. */
-constexpr duration young_for = seconds(4);
+constexpr duration joining_for = seconds(4);
 
 /** One other VM. */
 struct fleet_vm {
@@ -44,7 +44,7 @@
     instant heard_at{}; ///< its own digest; never: the epoch
     instant alive_at{}; ///< heard by anybody; never: the epoch
     instant known_since{};
-    bool to_answer = false; ///< it is young, and was heard since this VM last sent
+    bool to_answer = false; ///< it is joining, and was heard since this VM last sent
 };
 
 class fleet_table {
@@ -75,7 +75,7 @@
     [[nodiscard]] std::vector<const fleet_vm*> heard(instant now) const;
     /** VMs that live, this one included. */
     [[nodiscard]] std::size_t alive(instant now) const;
-    [[nodiscard]] bool is_young(instant now) const;
+    [[nodiscard]] bool is_joining(instant now) const;
 
     /** Some VMs that live, others with each call. */
     std::vector<vm_rumour> rumours(std::size_t count, instant now);
--- a/src/load_exchange.cpp
+++ b/src/load_exchange.cpp
@@ -131,9 +131,9 @@
 
 void load_exchange::describe(fleet_digest& to_near)
 {
-    to_near.own_loads = this->own_teller.next(this->own, this->busy);
+    to_near.own_loads = this->own_publisher.next(this->own, this->busy);
     if (!this->own_slices.empty()) {
-        to_near.distant_loads = this->distant_teller.next(this->elsewhere, this->busy);
+        to_near.distant_loads = this->distant_publisher.next(this->elsewhere, this->busy);
     }
 }
 
@@ -141,7 +141,7 @@
 {
     std::vector<distant_message> messages;
     if (this->distant.empty()) return messages;
-    const load_part part = this->centre_teller.next(this->centre, this->busy);
+    const load_part part = this->centre_publisher.next(this->centre, this->busy);
     for (const auto& [address, wanted] : this->distant) {
         distant_message message{address, {part.part, part.parts, {}}};
         std::ranges::copy_if(part.entries, std::back_inserter(message.centre_loads.entries),
--- a/src/load_exchange.h
+++ b/src/load_exchange.h
@@ -58,9 +58,9 @@
     load_table own;
     std::size_t slices = 1;
     std::vector<std::uint32_t> busy;
-    load_teller own_teller;
-    load_teller centre_teller;
-    load_teller distant_teller;
+    load_publisher own_publisher;
+    load_publisher centre_publisher;
+    load_publisher distant_publisher;
     std::vector<std::size_t> own_slices;                       ///< of which this VM is a home
     std::map<std::uint32_t, std::vector<std::size_t>> distant; ///< slices of other homes, by VM
     load_table centre;    ///< of the round: sums of this data centre, own slices only
--- a/src/load_tables.cpp
+++ b/src/load_tables.cpp
@@ -25,7 +25,8 @@
     return found == table.end() || found->server != server ? 0 : found->requests;
 }
 
-load_part load_teller::next(std::span<const load_entry> table, std::span<const std::uint32_t> busy)
+load_part load_publisher::next(std::span<const load_entry> table,
+                               std::span<const std::uint32_t> busy)
 {
     load_part told;
     const std::size_t needed = (table.size() + entries_per_part - 1) / entries_per_part;
--- a/src/load_tables.h
+++ b/src/load_tables.h
@@ -23,7 +23,7 @@
 std::uint32_t load_at(std::span<const load_entry> table, std::uint32_t server);
 
 /** Cuts a table into parts, one for each round. */
-class load_teller {
+class load_publisher {
 public:
     /** Entries of a part: a table of up to this many is told whole in each round. A fleet of eight
      * VMs before 22 servers stays below; at 80 VMs before 93 servers a table has about 25. */
--- a/test/soak/loopback_proxy.cpp
+++ b/test/soak/loopback_proxy.cpp
@@ -2,27 +2,11 @@
 
 #include <algorithm>
 #include <chrono>
-#include <stdexcept>
-
-#include <sys/socket.h>
 
 namespace soak {
 
 using namespace worksshift;
 
-namespace {
-
-void close_by_reset(bufferevent* socket)
-{
-    const linger at_once{.l_onoff = 1, .l_linger = 0};
-    const evutil_socket_t descriptor = bufferevent_getfd(socket);
-    if (descriptor >= 0) {
-        setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
-    }
-}
-
-} // namespace
-
 /** One direction of a connection: what is read from `socket` goes to the other half. */
 struct loopback_proxy::half {
     struct late_bytes {
@@ -47,21 +31,9 @@
 };
 
 loopback_proxy::loopback_proxy(event_base* base, const link_address& target)
-    : base(base), target(target)
+    : base(base), target(target),
+      listener(base, [this](evutil_socket_t socket) { this->accept(socket); })
 {
-    sockaddr_in at = to_socket_address({"127.0.0.1", 0});
-    this->listener.reset(evconnlistener_new_bind(
-        base,
-        [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
-            static_cast<loopback_proxy*>(self)->accept(socket);
-        },
-        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1, reinterpret_cast<const sockaddr*>(&at),
-        sizeof at));
-    if (this->listener == nullptr) throw std::runtime_error("no port is free");
-    socklen_t size = sizeof at;
-    getsockname(evconnlistener_get_fd(this->listener.get()), reinterpret_cast<sockaddr*>(&at),
-                &size);
-    this->port = ntohs(at.sin_port);
 }
 
 loopback_proxy::~loopback_proxy()
@@ -153,8 +125,8 @@
 void loopback_proxy::reset_open()
 {
     for (const auto& item : this->pairs) {
-        close_by_reset(item->caller.socket.get());
-        close_by_reset(item->target.socket.get());
+        support::close_by_reset(bufferevent_getfd(item->caller.socket.get()));
+        support::close_by_reset(bufferevent_getfd(item->target.socket.get()));
         item->over = true;
     }
 }
--- a/test/soak/loopback_proxy.h
+++ b/test/soak/loopback_proxy.h
@@ -11,6 +11,7 @@
 
 #include "event_loop.h"
 #include "link_address.h"
+#include "support/loopback_listener.h"
 
 namespace soak {
 
@@ -31,7 +32,7 @@
     loopback_proxy(loopback_proxy&&) = delete;
     loopback_proxy& operator=(loopback_proxy&&) = delete;
 
-    [[nodiscard]] worksshift::link_address address() const { return {"127.0.0.1", this->port}; }
+    [[nodiscard]] worksshift::link_address address() const { return this->listener.address(); }
 
     /** Concerns connections that are open and those that come, until the next call. */
     void set_fault(wire_fault kind, worksshift::duration delay = {});
@@ -53,8 +54,7 @@
 
     event_base* base;
     worksshift::link_address target;
-    worksshift::event_ptr<evconnlistener> listener;
-    std::uint16_t port = 0;
+    support::loopback_listener listener;
     wire_fault kind = wire_fault::none;
     worksshift::duration delay{};
     std::list<std::unique_ptr<pair>> pairs;
--- a/test/soak/soak_server.cpp
+++ b/test/soak/soak_server.cpp
@@ -1,9 +1,6 @@
 #include "soak_server.h"
 
 #include <chrono>
-#include <stdexcept>
-
-#include <sys/socket.h>
 
 #include "support/path_rig.h"
 
@@ -23,21 +20,9 @@
 };
 
 soak_server::soak_server(event_base* base, script answer, listener ended)
-    : base(base), answer(std::move(answer)), ended(std::move(ended))
+    : base(base), answer(std::move(answer)), ended(std::move(ended)),
+      acceptor(base, [this](evutil_socket_t socket) { this->accept(socket); })
 {
-    sockaddr_in at = to_socket_address({"127.0.0.1", 0});
-    this->acceptor.reset(evconnlistener_new_bind(
-        base,
-        [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
-            static_cast<soak_server*>(self)->accept(socket);
-        },
-        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1, reinterpret_cast<const sockaddr*>(&at),
-        sizeof at));
-    if (this->acceptor == nullptr) throw std::runtime_error("no port is free");
-    socklen_t size = sizeof at;
-    getsockname(evconnlistener_get_fd(this->acceptor.get()), reinterpret_cast<sockaddr*>(&at),
-                &size);
-    this->port = ntohs(at.sin_port);
 }
 
 soak_server::~soak_server() = default;
@@ -90,9 +75,7 @@
     }
     item.over = true;
     if (item.plan.end == answer_end::reset) {
-        const linger at_once{.l_onoff = 1, .l_linger = 0};
-        setsockopt(bufferevent_getfd(item.socket.get()), SOL_SOCKET, SO_LINGER, &at_once,
-                   sizeof at_once);
+        support::close_by_reset(bufferevent_getfd(item.socket.get()));
     }
 }
 
--- a/test/soak/soak_server.h
+++ b/test/soak/soak_server.h
@@ -11,6 +11,7 @@
 
 #include "event_loop.h"
 #include "link_address.h"
+#include "support/loopback_listener.h"
 
 namespace soak {
 
@@ -40,7 +41,7 @@
     soak_server(soak_server&&) = delete;
     soak_server& operator=(soak_server&&) = delete;
 
-    [[nodiscard]] worksshift::link_address address() const { return {"127.0.0.1", this->port}; }
+    [[nodiscard]] worksshift::link_address address() const { return this->acceptor.address(); }
     /** Sends what is due and frees connections that have ended. */
     void tick(worksshift::instant now);
 
@@ -54,8 +55,7 @@
     event_base* base;
     script answer;
     listener ended;
-    worksshift::event_ptr<evconnlistener> acceptor;
-    std::uint16_t port = 0;
+    support::loopback_listener acceptor;
     std::list<std::unique_ptr<connection>> open;
 };
 
--- a/test/support/path_rig.cpp
+++ b/test/support/path_rig.cpp
@@ -16,22 +16,6 @@
 
 constexpr std::string_view head_end = "\r\n\r\n";
 
-sockaddr_in loopback(std::uint16_t port)
-{
-    sockaddr_in made{};
-    made.sin_family = AF_INET;
-    made.sin_port = htons(port);
-    made.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    return made;
-}
-
-/** Closing resets the connection, so that thousands of drawn runs do not use up the ports. */
-void close_by_reset(evutil_socket_t socket)
-{
-    const linger at_once{.l_onoff = 1, .l_linger = 0};
-    if (socket >= 0) setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
-}
-
 } // namespace
 
 std::size_t request_size(const std::string& bytes)
@@ -51,22 +35,9 @@
 };
 
 scripted_server::scripted_server(event_base* base, script answer)
-    : answer(std::move(answer)), base(base)
+    : answer(std::move(answer)), base(base),
+      listener(base, [this](evutil_socket_t socket) { this->accept(socket); })
 {
-    const sockaddr_in at = loopback(0);
-    this->listener.reset(evconnlistener_new_bind(
-        base,
-        [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
-            static_cast<scripted_server*>(self)->accept(socket);
-        },
-        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1, reinterpret_cast<const sockaddr*>(&at),
-        sizeof at));
-    if (this->listener == nullptr) throw std::runtime_error("no port is free");
-    sockaddr_in bound{};
-    socklen_t size = sizeof bound;
-    getsockname(evconnlistener_get_fd(this->listener.get()), reinterpret_cast<sockaddr*>(&bound),
-                &size);
-    this->port = ntohs(bound.sin_port);
 }
 
 scripted_server::~scripted_server()
--- a/test/support/path_rig.h
+++ b/test/support/path_rig.h
@@ -13,6 +13,7 @@
 #include "platform.h"
 #include "request_path.h"
 #include "support/fleet.h"
+#include "support/loopback_listener.h"
 
 namespace support {
 
@@ -34,7 +35,7 @@
     scripted_server(scripted_server&&) = delete;
     scripted_server& operator=(scripted_server&&) = delete;
 
-    [[nodiscard]] worksshift::link_address address() const { return {"127.0.0.1", this->port}; }
+    [[nodiscard]] worksshift::link_address address() const { return this->listener.address(); }
     /** Sends bytes on the newest connection, as if by itself. */
     void push(const std::string& bytes);
 
@@ -50,8 +51,7 @@
     static void reset(connection& item);
 
     event_base* base;
-    worksshift::event_ptr<evconnlistener> listener;
-    std::uint16_t port = 0;
+    loopback_listener listener;
     std::vector<std::unique_ptr<connection>> open;
 };
 
