Headers that steer servers are taken from nobody but the router

Cause: callers sent holds, pins, backups and sources of copies of their own, and the adapter named only seven of the headers that are the router's; the rest went through. Servers refused what named a hold or copy that they do not have: 7% of all requests.

--- a/src/live_request.h
+++ b/src/live_request.h
@@ -47,12 +47,6 @@
     std::string held;
     event_stream events;
     instant first_event{};
-
-    [[nodiscard]] bool repeatable() const
-    {
-        return this->way->kind == route_kind::idempotent ||
-               (this->way->kind == route_kind::event_stream && this->way->resumable);
-    }
 };
 
 } // namespace worksshift
--- a/src/protocol.h
+++ b/src/protocol.h
@@ -36,6 +36,9 @@
     std::optional<milliseconds> deadline;
     std::vector<prompt_part> prompt;
     std::optional<std::uint64_t> last_event_id;
+    /** Headers that were not taken from the caller: reserved for the router, or sent twice. The
+     * names are the adapter's constants, so there are few different ones. */
+    std::vector<std::string_view> ignored_headers;
 };
 
 /** What we tell a server with a request. */
@@ -84,7 +87,8 @@
     /** Whether a request that may have run may be sent again. */
     [[nodiscard]] bool repeatable() const
     {
-        return this->kind == route_kind::idempotent || this->resumable;
+        return this->kind == route_kind::idempotent ||
+               (this->kind == route_kind::event_stream && this->resumable);
     }
 };
 
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -83,6 +83,10 @@
     item.arrived = now();
     this->arrived_last = item.arrived;
     item.facts = this->dialect.decode_request(request.head);
+    for (const std::string_view name : item.facts.ignored_headers) {
+        this->numbers.count("worksshift_ignored_headers_total{header=\"" + std::string(name) +
+                            "\"}");
+    }
     item.head = std::move(request.head);
     item.body = std::move(request.body);
     this->requests.emplace(item.id, std::move(made));
@@ -126,7 +130,12 @@
     duration span = item.way->timeout;
     if (item.facts.deadline) span = std::min<duration>(span, *item.facts.deadline);
     item.deadline = item.arrived + span;
-    item.events.start_after(item.facts.last_event_id);
+    // Elsewhere the server would give the end of an answer, which looks whole.
+    if (item.way->resumable) {
+        item.events.start_after(item.facts.last_event_id);
+    } else if (item.facts.last_event_id) {
+        this->numbers.count("worksshift_ignored_resumptions_total");
+    }
     this->budgets[item.service].on_request(item.arrived);
     return true;
 }
@@ -173,7 +182,7 @@
     order.head = this->dialect.encode_request(item.head, facts, item.body.size());
     order.body = item.body;
     order.no_answer_body = item.head.method == "HEAD";
-    order.repeatable = item.repeatable();
+    order.repeatable = item.way->repeatable();
     this->servers.start(order);
 }
 
@@ -318,7 +327,7 @@
     const instant time = now();
     if (item.gone || item.sends >= sends_at_most) return false;
     if (item.deadline - time <= least_time_to_retry) return false;
-    if (may_have_run && (!item.repeatable() || item.runs >= item.way->attempts)) return false;
+    if (may_have_run && (!item.way->repeatable() || item.runs >= item.way->attempts)) return false;
     return this->budgets[item.service].take(time, this->budget_settings, this->vms);
 }
 
@@ -372,6 +381,7 @@
          {"status", status},
          {"route", item.way == nullptr ? std::string() : item.way->name},
          {"account", item.account.text},
+         {"ignored_headers", item.facts.ignored_headers.size()},
          {"server", item.tried.empty() ? none.text : item.tried.back().text},
          {"rank", item.where.rank},
          {"of", item.where.candidates},
@@ -412,7 +422,7 @@
 
 void request_path::check_silence(live_request& item, instant time)
 {
-    if (item.row == nullptr || item.gone || !item.repeatable()) return;
+    if (item.row == nullptr || item.gone || !item.way->repeatable()) return;
     const duration limit =
         std::max<duration>(shortest_silence, item.way->latency_objective * silence_of_objective);
     if (time - item.last_byte < limit) return;
