Trial: requests are refused when no engine has a slot in time; ranks beyond the third need free slots

Ruled out: engines that lose their cache (pairs of prompt and engine account for the copies). Change: wait for a slot forecast from load, slots and the learnt time that a request holds one; refusal when no engine can begin within half of the shortest objective; only three engines in rank let themselves get full; Retry-After as long as the overload has lasted.

--- a/src/protocol.cpp
+++ b/src/protocol.cpp
@@ -36,6 +36,11 @@
 {
     for (std::size_t at = 0; at < this->routes.size(); ++at) {
         this->routes_of_host[this->routes[at].host].push_back(at);
+        for (const route_target& target : this->routes[at].targets) {
+            const auto [found, added] = this->shortest_objective.try_emplace(
+                target.service, this->routes[at].latency_objective);
+            found->second = std::min(found->second, this->routes[at].latency_objective);
+        }
     }
     for (auto& [host, group] : this->routes_of_host) {
         std::ranges::sort(group, std::greater{},
--- a/src/protocol.h
+++ b/src/protocol.h
@@ -111,6 +111,8 @@
     std::map<std::string, std::vector<std::size_t>, std::less<>> routes_of_host; ///< longest first
     std::unordered_map<std::string, client_account> account_of_key;
     std::map<service_id, bool> engine_services; ///< whether the service's servers are model engines
+    /** Of the routes of a service. */
+    std::map<service_id, milliseconds> shortest_objective;
     caller_limits limits;
 
     /** The route of the host with the longest prefix of \p target; nullptr when there is none. */
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -130,6 +130,10 @@
     duration span = item.way->timeout;
     if (item.facts.deadline) span = std::min<duration>(span, *item.facts.deadline);
     item.deadline = item.arrived + span;
+    if (item.engine) {
+        item.wait_limit = std::chrono::duration_cast<duration>(
+            item.config->shortest_objective.at(item.service) * wait_of_objective);
+    }
     // Elsewhere the server would give the end of an answer, which looks whole.
     if (item.way->resumable) {
         item.events.start_after(item.facts.last_event_id);
@@ -142,15 +146,32 @@
 
 void request_path::dispatch(live_request& item)
 {
-    const placed where =
-        this->table.choose({item.service, item.engine, item.affinity, item.tried}, now());
+    const placed where = this->table.choose(
+        {item.service, item.engine, item.affinity, item.tried, item.wait_limit}, now());
     if (where.row == nullptr) {
         this->fail(item, "choose", "no server");
         return;
     }
+    if (where.crowded && item.runs == 0) {
+        this->refuse(item, where);
+        return;
+    }
     this->send(item, where);
 }
 
+/** No engine can begin with the request in time: others that can be served go first, and this one
+ * is told at once when to come back. */
+void request_path::refuse(live_request& item, const placed& where)
+{
+    item.where = where;
+    this->log_attempt(item, "refused", "slots",
+                      "wait " + std::to_string(in_ms(where.wait)) + " ms of " +
+                          std::to_string(in_ms(item.wait_limit)));
+    this->numbers.count("worksshift_refused_total");
+    this->answer_own(item, unavailable, "not run: all engines are busy",
+                     this->overloads[item.service].refuse(now(), this->random));
+}
+
 void request_path::send(live_request& item, const placed& where)
 {
     const instant time = now();
@@ -287,6 +308,8 @@
         }
     } else {
         row.health.on_success(time);
+        if (item.streaming && item.first_event != instant{})
+            this->table.on_finished(row, time - item.first_event);
     }
     this->finish_answer(item);
 }
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -22,6 +22,20 @@
     return load_bound_multiple * mean + load_bound_spare;
 }
 
+/** Weight of the row that stands at \p rank of the key, counted from one. */
+std::uint64_t weight_of_rank(std::span<server_entry* const> rows, std::uint64_t key,
+                             std::size_t rank)
+{
+    std::vector<std::uint64_t> weights(rows.size());
+    std::ranges::transform(rows, weights.begin(), [key](const server_entry* row) {
+        return rendezvous_weight(key, row->hash);
+    });
+    const std::size_t at = std::min(rank, weights.size()) - 1;
+    std::ranges::nth_element(weights, weights.begin() + static_cast<std::ptrdiff_t>(at),
+                             std::greater{});
+    return weights[at];
+}
+
 } // namespace
 
 bool server_table::put(const server_record& record)
@@ -111,26 +125,33 @@
 
 /** Looks at each server once: sorting them all by rank took 301 us at 1,400 servers, this takes
  * 38 us (`measure router`). */
-placed server_table::choose_engine(const placing& wanted, const row_list& rows) const
+placed server_table::choose_engine(const placing& wanted, const row_list& rows)
 {
     placed result;
     result.mean_load = mean_load(rows);
+    const slot_forecast& forecast = this->forecasts[wanted.service];
+    const auto wait_at = [&forecast](const server_entry* row) {
+        return forecast.wait(row->load(), row->record.slots);
+    };
     const double bound = load_bound(result.mean_load);
-    const auto below_bound = [bound](const server_entry* row) { return row->load() + 1 <= bound; };
-    if (wanted.affinity == 0 || std::ranges::none_of(rows, below_bound)) {
-        result.row = *std::ranges::min_element(rows, {}, &server_entry::load);
-        return result;
-    }
-    std::uint64_t best = 0;
-    for (server_entry* row : rows) {
-        const std::uint64_t weight = rendezvous_weight(wanted.affinity, row->hash);
-        if (!below_bound(row) || (result.row != nullptr && weight <= best)) continue;
-        result.row = row;
-        best = weight;
-    }
-    result.rank = static_cast<std::size_t>(std::ranges::count_if(rows, [&](const auto* row) {
-        return rendezvous_weight(wanted.affinity, row->hash) > best;
-    }));
+    const auto weight_of = [&wanted](const server_entry* row) {
+        return rendezvous_weight(wanted.affinity, row->hash);
+    };
+    const std::uint64_t near = weight_of_rank(rows, wanted.affinity, ranks_to_wait_at);
+    const auto open = [&](const server_entry* row) {
+        if (row->load() + 1 > bound) return false;
+        if (weight_of(row) >= near) return wait_at(row) <= wanted.wait_limit;
+        return row->load() + 1 <= free_share * row->record.slots;
+    };
+    const auto best = std::ranges::max_element(
+        rows, {}, [&](const server_entry* row) { return open(row) ? weight_of(row) : 0; });
+    result.crowded = !open(*best);
+    const bool any = result.crowded || wanted.affinity == 0;
+    result.row = any ? *std::ranges::min_element(rows, {}, &server_entry::load) : *best;
+    result.wait = wait_at(result.row);
+    const std::uint64_t weight = weight_of(result.row);
+    result.rank = static_cast<std::size_t>(std::ranges::count_if(
+        rows, [&](const server_entry* row) { return weight_of(row) > weight; }));
     return result;
 }
 
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -18,6 +18,7 @@
 
 #include "protocol.h"
 #include "server_health.h"
+#include "slot_forecast.h"
 
 namespace worksshift {
 
@@ -59,6 +60,10 @@
  * read again on a calm day fell from 1.30 to 0.85 million, with first tokens as early as before. */
 constexpr double load_bound_multiple = 1.7;
 constexpr double load_bound_spare = 2.5;
+/** Engines in rank of a prompt that are let get full: a request waits at one of these rather than
+ * have the prompt copied to one more. Beyond them only engines with a free slot are taken. */
+constexpr std::size_t ranks_to_wait_at = 3;
+constexpr double free_share = 0.8;
 /** From this share of its bound on a server is busy. */
 constexpr double busy_share = 0.7;
 /** A plain server in another data centre counts as this much of its slots busier than it is: calls
@@ -70,6 +75,8 @@
     bool engine = false;
     std::uint64_t affinity = 0; ///< hash of the shared part of the prompt; 0: none
     std::span<const server_id> tried;
+    /** An engine at which the request would wait longer for a slot is taken only if all are so. */
+    duration wait_limit = duration::max();
 };
 
 struct placed {
@@ -78,6 +85,8 @@
     std::size_t candidates = 0;
     std::uint32_t load = 0; ///< of the chosen one, before this request
     double mean_load = 0;
+    duration wait{};      ///< for a slot of the chosen one, as forecast
+    bool crowded = false; ///< no engine has a slot for the request in time
     /** Likely holds the shared part of the prompt when the chosen one does not; nullptr: none. */
     const server_entry* cached_at = nullptr;
 };
@@ -94,6 +103,11 @@
     void mark_replaced(const server_id& id);
     [[nodiscard]] server_entry* find(const server_id& id);
     placed choose(const placing& wanted, instant now);
+    /** A request held a slot of the server for \p span. */
+    void on_finished(const server_entry& row, duration span)
+    {
+        this->forecasts[row.record.service].on_finished(span);
+    }
     /** Servers near their load bound: what other VMs need to know of first. */
     [[nodiscard]] std::vector<const server_entry*> busy() const;
     /** Frees rows that are gone and idle. */
@@ -109,7 +123,7 @@
     using row_list = std::vector<server_entry*>;
 
     row_list candidates(const placing& wanted, instant now);
-    [[nodiscard]] placed choose_engine(const placing& wanted, const row_list& rows) const;
+    placed choose_engine(const placing& wanted, const row_list& rows);
     [[nodiscard]] const server_entry* find_cached(const placing& wanted, const server_entry& chosen,
                                                   instant now) const;
     placed choose_plain(row_list& rows);
@@ -117,6 +131,7 @@
     data_centre_id here;
     std::map<server_id, server_entry> table; ///< references to rows stay valid
     std::unordered_map<service_id, row_list> by_service;
+    std::unordered_map<service_id, slot_forecast> forecasts;
     std::minstd_rand random{std::random_device{}()};
 };
 
