Trial: stated loads are told to near VMs; admission by rate while engines are busy

Cause, on the grown fleet: sums of requests pass three VMs and are over a second late; an engine believed to have 11 requests had 22, so slots were given twice and prompts copied (1,668 GB in 14 s of a wave of long prompts). Change: servers' own word of their load goes to near VMs with the next digest; while 85% of the slots are taken, the admitted share is the engines' pace over what the fleet asks; engines beyond the first three in rank need half of their slots free.

--- a/src/admission.h
+++ b/src/admission.h
@@ -14,6 +14,7 @@
 #include <random>
 #include <variant>
 
+#include "demand_meter.h"
 #include "overload_watch.h"
 #include "server_table.h"
 
@@ -22,29 +23,60 @@
 struct send_to {
     placed where;
 };
+/** What a decision went by, for the log. */
+struct admission_view {
+    double share = 1;  ///< of the requests that is admitted
+    double asked = 0;  ///< requests per second of the fleet
+    double served = 0; ///< requests per second that the engines finish while full
+    double taken = 0;  ///< share of the slots, beyond 1 for what waits
+};
+
 struct come_back {
-    placed where; ///< the least loaded engine, which has no slot in time
+    placed where; ///< the engine that was chosen, or the least loaded one when none has a slot
     duration retry_after{};
+    admission_view view;
 };
 struct no_server {};
 using verdict = std::variant<send_to, come_back, no_server>;
 
+/** Loads that others tell are older than this in a fleet of 80 VMs; what was admitted beyond the
+ * engines' pace meanwhile is added to them. */
+constexpr duration loads_are_late_by = milliseconds(700);
+/** The rate that is admitted is lower and higher than the engines' pace by these at most. */
+constexpr double least_correction = 0.4;
+constexpr double most_correction = 1.25;
+/** Engines are busy from this share of their slots on; below it nothing is refused by rate. */
+constexpr double busy_from = 0.85;
+
 class admission {
 public:
     explicit admission(server_table& table) : table(table) {}
 
-    /** \p may_refuse: the request has run nowhere, so it is true to say so. */
-    verdict decide(const placing& wanted, bool may_refuse, instant now)
+    /** A request came that any VM could have got. */
+    void on_request(const service_id& service, instant now)
     {
-        const placed where = this->table.choose(wanted, now);
-        if (where.row == nullptr) return no_server{};
-        if (!where.crowded || !may_refuse) return send_to{where};
-        return come_back{where, this->overloads[wanted.service].refuse(now, this->random)};
+        this->services[service].demand.on_request(now);
     }
+    /** \p may_refuse: the request has run nowhere, so it is true to say so. */
+    verdict decide(const placing& wanted, bool may_refuse, instant now);
+
+    /** Requests for model engines that come to this VM, per second. */
+    [[nodiscard]] double engine_requests_per_s(instant now) const;
+    /** Those of the whole fleet for each of this VM's. */
+    void set_fleet_demand(double multiple) { this->fleet_multiple = multiple; }
 
 private:
+    struct service_state {
+        demand_meter demand;
+        demand_meter admitted;
+        overload_watch overload;
+    };
+
+    [[nodiscard]] admission_view look_at(const service_id& service, instant now);
+
     server_table& table;
-    std::map<service_id, overload_watch> overloads;
+    std::map<service_id, service_state> services;
+    double fleet_multiple = 1;
     std::minstd_rand random{std::random_device{}()};
 };
 
--- a/src/fleet_digest.cpp
+++ b/src/fleet_digest.cpp
@@ -42,6 +42,12 @@
     archive(item.server, item.requests);
 }
 
+template <class Archive>
+void serialize(Archive& archive, stated_load& item)
+{
+    archive(item.server, item.requests, item.age);
+}
+
 template <class Archive>
 void serialize(Archive& archive, vm_rumour& item)
 {
@@ -67,7 +73,9 @@
 {
     archive(item.format, item.incarnation, item.sequence, item.data_centre, item.period_ms,
             item.config_version, item.servers_revision, item.store_back, item.watches_store,
-            item.leaving, item.joining, item.own_loads, item.centre_loads, item.distant_loads);
+            item.leaving, item.joining, item.own_loads, item.centre_loads, item.distant_loads,
+            item.requests_per_s);
+    save_items(archive, item.stated_loads);
     save_items(archive, item.vms);
 }
 
@@ -78,7 +86,8 @@
     if (item.format != known_format) throw peer_error("digest", "", "another format");
     archive(item.incarnation, item.sequence, item.data_centre, item.period_ms, item.config_version,
             item.servers_revision, item.store_back, item.watches_store, item.leaving, item.joining,
-            item.own_loads, item.centre_loads, item.distant_loads);
+            item.own_loads, item.centre_loads, item.distant_loads, item.requests_per_s);
+    load_items(archive, item.stated_loads);
     load_items(archive, item.vms);
 }
 
--- a/src/fleet_digest.h
+++ b/src/fleet_digest.h
@@ -11,6 +11,8 @@
 #include <string_view>
 #include <vector>
 
+#include "ids.h"
+
 namespace worksshift {
 
 /** Requests under way at one server. */
@@ -37,6 +39,16 @@
     }
 };
 
+/** Load that a server stated with an answer to the sender. */
+struct stated_load {
+    std::uint32_t server = 0; ///< low half of the hash of its id
+    std::uint16_t requests = 0;
+    std::uint8_t age = 0; ///< in units of `stated_age_unit`
+};
+constexpr duration stated_age_unit = milliseconds(10);
+/** Statements in one digest at most: the newest. */
+constexpr std::size_t stated_loads_at_most = 24;
+
 /** A VM that somebody heard. */
 struct vm_rumour {
     std::uint32_t address = 0;     ///< IPv4, host order
@@ -46,7 +58,7 @@
 
 /** State of one VM, as it tells it itself. */
 struct fleet_digest {
-    std::uint8_t format = 2;
+    std::uint8_t format = 3;
     std::uint32_t incarnation = 0; ///< random for each start of the process
     std::uint32_t sequence = 0;
     std::uint32_t data_centre = 0;
@@ -60,6 +72,8 @@
     load_part own_loads;     ///< requests of the sender
     load_part centre_loads;  ///< requests of all VMs of the sender's data centre
     load_part distant_loads; ///< requests of the other data centres, as the sender was told
+    std::vector<stated_load> stated_loads; ///< new since the sender's last digest
+    std::uint16_t requests_per_s = 0;      ///< that ask the sender for a model engine, in tenths
     std::vector<vm_rumour> vms;
 };
 
--- a/src/live_request.h
+++ b/src/live_request.h
@@ -38,6 +38,7 @@
     instant sent{};       ///< the attempt
     instant last_byte{};  ///< of the attempt, or when it was sent
 
+    std::optional<std::uint32_t> told_load; ///< by the server, with its answer
     http_head answer;
     bool refused = false; ///< the attempt's answer states that it did not run
     bool streaming = false;
--- a/src/placement_policy.h
+++ b/src/placement_policy.h
@@ -20,7 +20,11 @@
      * from 770 to 110 GB with it, and 4% more requests were served. */
     std::size_t ranks_to_wait_at = 3;
     /** Beyond these an engine is taken while its load is below this share of its slots. */
-    double free_share = 0.8;
+    double free_share = 0.5;
+    /** Requests draw the load at which an engine is full from this far to either side of it. Loads
+     * of other VMs are known late; without it all VMs send to an engine, or stop, at the same
+     * moment. */
+    double spread_of_loads = 4;
     /** An engine whose first events come this many times as late as those of the first quartile is
      * slow, and taken only where no other has a slot; 0 calls none slow. With half of the engines
      * at a sixth of their pace beside a wave of short requests, late requests fell from 16% to 9%.
--- a/src/protocol.h
+++ b/src/protocol.h
@@ -57,6 +57,7 @@
     bool not_executed = false;           ///< the server states that it did not run the request
     std::optional<seconds> idle_timeout; ///< of the connection
     bool close = false;                  ///< the server closes the connection, or is leaving
+    std::optional<std::uint32_t> load;   ///< requests that the server runs or queues
 };
 
 /** How often a request may run. */
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -141,6 +141,7 @@
         this->numbers.count("worksshift_ignored_resumptions_total");
     }
     this->budgets[item.service].on_request(item.arrived);
+    if (item.engine) this->admitting.on_request(item.service, item.arrived);
     return true;
 }
 
@@ -158,10 +159,19 @@
 void request_path::refuse(live_request& item, const come_back& answer)
 {
     item.where = answer.where;
-    this->log_attempt(item, "refused", "slots",
-                      "least load " + std::to_string(answer.where.load) + ", wait " +
-                          std::to_string(in_ms(answer.where.wait)) + " ms, come back in " +
-                          std::to_string(in_ms(answer.retry_after)) + " ms");
+    log_event(log_level::info, "refused",
+              {{"request", item.facts.id},
+               {"service", item.service.text},
+               {"crowded", static_cast<int>(answer.where.crowded)},
+               {"load", answer.where.load},
+               {"mean_load", answer.where.mean_load},
+               {"wait_ms", in_ms(answer.where.wait)},
+               {"share", answer.view.share},
+               {"asked_per_s", answer.view.asked},
+               {"served_per_s", answer.view.served},
+               {"taken", answer.view.taken},
+               {"loads_ms", in_ms(now() - this->table.peers_summed_at)},
+               {"retry_after_ms", in_ms(answer.retry_after)}});
     this->numbers.count("worksshift_refused_total");
     this->answer_own(item, unavailable, "not run: all engines are busy", answer.retry_after);
 }
@@ -216,6 +226,11 @@
     if (item == nullptr) return;
     item->last_byte = now();
     item->row->heard_at = item->last_byte;
+    item->told_load = facts.load;
+    if (facts.load) {
+        item->row->state(*facts.load, item->last_byte);
+        item->row->stated_here = true;
+    }
     item->refused = facts.not_executed || head.status == misdirected;
     const std::string* type = head.find("content-type");
     item->streaming = item->way->kind == route_kind::event_stream && head.status == ok &&
@@ -407,6 +422,9 @@
          {"server", item.tried.empty() ? none.text : item.tried.back().text},
          {"rank", item.where.rank},
          {"of", item.where.candidates},
+         {"load", item.where.load},
+         {"told_load", item.told_load ? static_cast<int>(*item.told_load) : -1},
+         {"loads_ms", in_ms(item.loads_age)},
          {"mean_load", item.where.mean_load},
          {"sends", item.sends},
          {"runs", item.runs},
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -59,6 +59,7 @@
 
     /** Ends what ran out of time, and moves repeatable requests away from silent servers. */
     void tick(instant now);
+    [[nodiscard]] admission& admissions() { return this->admitting; }
     [[nodiscard]] std::size_t active() const { return this->requests.size(); }
     /** When the last request came. */
     [[nodiscard]] instant last_arrival() const { return this->arrived_last; }
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -24,6 +24,9 @@
 /** The settings file may change without a signal. */
 constexpr duration settings_check_period = seconds(1);
 constexpr duration loads_summed_every = milliseconds(50);
+/** Digests tell rates in tenths of a request per second, in two bytes. */
+constexpr double demand_unit_per_s = 10;
+constexpr double largest_demand = 65535;
 constexpr int ok = 200;
 constexpr int unavailable = 503;
 
@@ -112,7 +115,9 @@
     this->follow_store(time);
     this->start_serving();
     this->servers.sweep();
+    this->servers.expire_stated(time);
     this->servers.mark_slow(time);
+    this->servers.sum_loads(time);
     this->take_peer_loads(time);
     this->gossip.tick(time, [this, time] { return this->describe_self(time); });
     this->check_settings_file(time);
@@ -128,6 +133,8 @@
     this->registry.on_leaving.connect([this](const server_id& id) { this->links.forget(id); });
     this->gossip.on_digest.connect([this](const fleet_vm& from) {
         this->loads_changed = true;
+        for (const stated_load& item : from.last.stated_loads)
+            this->servers.take_stated(item, from.heard_at);
         this->configuration.take_digest(from, now());
     });
 }
@@ -159,7 +166,9 @@
 {
     if (time - this->summed_at < loads_summed_every) return;
     this->summed_at = time;
-    this->path.set_fleet_size(this->gossip.fleet().alive(time));
+    const std::size_t alive = this->gossip.fleet().alive(time);
+    this->path.set_fleet_size(alive);
+    this->path.admissions().set_fleet_demand(this->demand_multiple(alive, time));
     if (!std::exchange(this->loads_changed, false) && !this->gossip.fleet().heard(time).empty()) {
         return;
     }
@@ -169,16 +178,35 @@
         row.peers_in_flight = load_at(others, short_hash(row));
 }
 
-own_state router::describe_self(instant time) const
+/** Requests of the fleet for each of this VM's, as far as near VMs tell; the data centres that are
+ * not heard directly are taken to be asked as much. */
+double router::demand_multiple(std::size_t alive, instant time)
+{
+    const double own = this->path.admissions().engine_requests_per_s(time);
+    if (own <= 0) return static_cast<double>(alive);
+    double near = own;
+    std::size_t heard = 1;
+    for (const fleet_vm* item : this->gossip.fleet().heard(time)) {
+        near += item->last.requests_per_s / demand_unit_per_s;
+        ++heard;
+    }
+    return near / own * static_cast<double>(alive) / static_cast<double>(heard);
+}
+
+own_state router::describe_self(instant time)
 {
     own_state state;
     state.digest.config_version = this->configuration.version();
     state.digest.watches_store = this->configuration.follows() && this->registry.follows();
     state.digest.leaving = this->stopping;
+    state.digest.requests_per_s = static_cast<std::uint16_t>(std::min(
+        this->path.admissions().engine_requests_per_s(time) * demand_unit_per_s, largest_demand));
+    state.digest.stated_loads = this->servers.take_news(time);
     this->registry.describe(state.digest, time);
     state.servers = this->servers.rows().size();
     for (const auto& [id, row] : this->servers.rows()) {
-        if (row.in_flight == 0) continue;
+        // Whoever hears a server's own word needs no sums of requests.
+        if (row.in_flight == 0 || row.stated_is_fresh) continue;
         state.loads.push_back({short_hash(row), static_cast<std::uint16_t>(row.in_flight)});
     }
     const std::vector<const server_entry*> busy = this->servers.busy();
--- a/src/router.h
+++ b/src/router.h
@@ -42,7 +42,8 @@
     void start_serving();
     void follow_store(instant now);
     void take_peer_loads(instant now);
-    [[nodiscard]] own_state describe_self(instant now) const;
+    double demand_multiple(std::size_t alive, instant now);
+    own_state describe_self(instant now);
     void serve_peers();
     void serve_readiness();
     void serve_metrics();
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -1,6 +1,7 @@
 #include "server_table.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <numeric>
 #include <ranges>
@@ -58,6 +59,7 @@
     }
     row.record = record;
     row.hash = record.id.hash();
+    this->by_short_hash[static_cast<std::uint32_t>(row.hash)] = &row;
     row.gone = false;
     return changed;
 }
@@ -86,9 +88,29 @@
     for (auto& [service, group] : this->services) {
         std::erase_if(group.rows, [](const server_entry* row) { return row->over(); });
     }
+    std::erase_if(this->by_short_hash, [](const auto& entry) { return entry.second->over(); });
     std::erase_if(this->table, [](const auto& entry) { return entry.second.over(); });
 }
 
+service_load server_table::load_of(const service_id& service) const
+{
+    const auto found = this->services.find(service);
+    return found == this->services.end() ? service_load{} : found->second.sum;
+}
+
+void server_table::sum_loads(instant now)
+{
+    for (auto& [service, group] : this->services) {
+        group.sum = {};
+        group.sum.span_s = std::chrono::duration<double>(group.forecast.span()).count();
+        for (const server_entry* row : group.rows) {
+            if (!row->takes_work() || !row->health.usable(now) || row->quiet(now)) continue;
+            group.sum.slots += row->record.slots;
+            group.sum.requests += row->load();
+        }
+    }
+}
+
 std::vector<const server_entry*> server_table::busy() const
 {
     std::vector<const server_entry*> found;
@@ -102,6 +124,34 @@
     return found;
 }
 
+void server_table::take_stated(const stated_load& item, instant heard_at)
+{
+    const auto found = this->by_short_hash.find(item.server);
+    if (found == this->by_short_hash.end()) return;
+    found->second->state(item.requests, heard_at - item.age * stated_age_unit);
+}
+
+std::vector<stated_load> server_table::take_news(instant now)
+{
+    std::vector<stated_load> news;
+    for (auto& [id, row] : this->table) {
+        if (!std::exchange(row.stated_here, false)) continue;
+        const auto age = std::min<std::int64_t>((now - row.stated_at) / stated_age_unit, 255);
+        news.push_back({static_cast<std::uint32_t>(row.hash),
+                        static_cast<std::uint16_t>(std::min<std::uint32_t>(row.stated, 65535)),
+                        static_cast<std::uint8_t>(age)});
+    }
+    std::ranges::sort(news, {}, &stated_load::age);
+    news.resize(std::min(news.size(), stated_loads_at_most));
+    return news;
+}
+
+void server_table::expire_stated(instant now)
+{
+    for (auto& [id, row] : this->table)
+        row.stated_is_fresh = now - row.stated_at <= stated_load_for;
+}
+
 void server_table::mark_slow(instant now)
 {
     for (auto& [service, group] : this->services)
@@ -133,12 +183,15 @@
     return std::chrono::duration_cast<duration>(group.objective * this->policy.wait_of_objective);
 }
 
-/** \p near: the engine is among the first in rank of the prompt. */
-bool server_table::has_slot(const service_state& group, const server_entry& row, bool near) const
+/** \p near: the engine is among the first in rank of the prompt. \p spread: of this request, by
+ * which the limit is higher or lower. */
+bool server_table::has_slot(const service_state& group, const server_entry& row, bool near,
+                            double spread) const
 {
     const duration limit = this->wait_limit(group);
-    if (near || limit == duration::max()) return group.wait_at(row) <= limit;
-    return row.load() + 1 <= this->policy.free_share * row.record.slots;
+    if (limit == duration::max()) return true;
+    if (near) return group.forecast.wait(row.load() + spread, row.record.slots) <= limit;
+    return row.load() + 1 + std::abs(spread) <= this->policy.free_share * row.record.slots;
 }
 
 server_table::row_list server_table::candidates(const placing& wanted, instant now)
@@ -183,10 +236,12 @@
     const std::vector<std::uint64_t> weights = rank_weights(rows, wanted.affinity);
     const std::size_t ranks = wanted.affinity == 0 ? rows.size() : this->policy.ranks_to_wait_at;
     const std::uint64_t near = weight_at(weights, ranks);
+    std::uniform_real_distribution<double> spreads(-1, 1);
+    const double spread = spreads(this->random) * this->policy.spread_of_loads;
     const auto grade = [&](std::size_t at) {
         const server_entry& row = *rows[at];
         const bool open =
-            row.load() + 1 <= bound && this->has_slot(group, row, weights[at] >= near);
+            row.load() + 1 <= bound && this->has_slot(group, row, weights[at] >= near, spread);
         return std::tuple(open, open && !row.slow, weights[at]);
     };
     const auto all = std::views::iota(std::size_t{0}, rows.size());
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "first_event_delay.h"
+#include "fleet_digest.h"
 #include "placement_policy.h"
 #include "protocol.h"
 #include "server_health.h"
@@ -29,6 +30,12 @@
     std::uint64_t hash = 0;            ///< of its id, for ranking
     std::uint32_t in_flight = 0;       ///< attempts of this VM
     std::uint32_t peers_in_flight = 0; ///< of the other VMs, as they last told
+    /** Requests of all VMs by the server's own word, to this VM or a near one. */
+    std::uint32_t stated = 0;
+    instant stated_at{};
+    std::uint32_t in_flight_when_stated = 0;
+    bool stated_is_fresh = false; ///< as of the last tick
+    bool stated_here = false;     ///< to this VM, and not yet told to others
     server_health health;
     bool gone = false;     ///< not in the registry any more; kept until idle
     bool replaced = false; ///< another server answered at its address
@@ -52,7 +59,22 @@
         return this->in_flight > 0 &&
                now - std::max(this->heard_at, this->waited_from) > quiet_after;
     }
-    [[nodiscard]] std::uint32_t load() const { return this->in_flight + this->peers_in_flight; }
+    /** A server's own word counts all VMs' requests and is told by near VMs at once; sums of the
+     * other VMs' requests pass three of them and are a second late in a large fleet. */
+    [[nodiscard]] std::uint32_t load() const
+    {
+        if (!this->stated_is_fresh) return this->in_flight + this->peers_in_flight;
+        const std::uint32_t now = this->stated + this->in_flight;
+        return std::max(this->in_flight, now - std::min(now, this->in_flight_when_stated));
+    }
+    void state(std::uint32_t requests, instant at)
+    {
+        if (at <= this->stated_at) return;
+        this->stated = requests;
+        this->stated_at = at;
+        this->in_flight_when_stated = this->in_flight;
+        this->stated_is_fresh = true;
+    }
     [[nodiscard]] bool over() const { return this->gone && this->in_flight == 0; }
     [[nodiscard]] bool takes_work() const
     {
@@ -66,6 +88,8 @@
  * read again on a calm day fell from 1.30 to 0.85 million, with first tokens as early as before. */
 constexpr double load_bound_multiple = 1.7;
 constexpr double load_bound_spare = 2.5;
+/** A stated load is used for so long. */
+constexpr duration stated_load_for = milliseconds(3000);
 /** From this share of its bound on a server is busy. */
 constexpr double busy_share = 0.7;
 /** A plain server in another data centre counts as this much of its slots busier than it is: calls
@@ -94,6 +118,13 @@
     const server_entry* cached_at = nullptr;
 };
 
+/** The engines of a service together, those that are failing or out of reach left out. */
+struct service_load {
+    double slots = 0;
+    double requests = 0;
+    double span_s = 0; ///< for which a request holds a slot, mean
+};
+
 class server_table {
 public:
     explicit server_table(data_centre_id here) : here(std::move(here)) {}
@@ -117,8 +148,17 @@
         this->services[service].objective = objective;
     }
     placement_policy policy;
+    /** As of the last tick. */
+    [[nodiscard]] service_load load_of(const service_id& service) const;
+    void sum_loads(instant now);
     /** Servers near their load bound: what other VMs need to know of first. */
     [[nodiscard]] std::vector<const server_entry*> busy() const;
+    /** Another VM was told the load of a server. */
+    void take_stated(const stated_load& item, instant heard_at);
+    /** The newest loads that servers stated to this VM since the last call. */
+    std::vector<stated_load> take_news(instant now);
+    /** Stated loads that are too old count no more. */
+    void expire_stated(instant now);
     /** Compares the engines' recent delays; once a tick. */
     void mark_slow(instant now);
     /** Frees rows that are gone and idle. */
@@ -145,6 +185,7 @@
     struct service_state {
         row_list rows;
         slot_forecast forecast;
+        service_load sum;
         duration objective{}; ///< to the first event, the shortest of its routes; zero: none
 
         [[nodiscard]] duration wait_at(const server_entry& row) const
@@ -153,12 +194,13 @@
         }
     };
 
-    [[nodiscard]] bool has_slot(const service_state& group, const server_entry& row,
-                                bool near) const;
+    [[nodiscard]] bool has_slot(const service_state& group, const server_entry& row, bool near,
+                                double spread) const;
     [[nodiscard]] duration wait_limit(const service_state& group) const;
     void mark_slow(service_state& group, instant now) const;
 
     std::unordered_map<service_id, service_state> services;
+    std::unordered_map<std::uint32_t, server_entry*> by_short_hash;
     std::minstd_rand random{std::random_device{}()};
 };
 
--- a/src/slot_forecast.h
+++ b/src/slot_forecast.h
@@ -31,10 +31,10 @@
     }
 
     /** Until one more request gets a slot; zero while nothing is known of the spans. */
-    [[nodiscard]] duration wait(std::uint32_t load, std::uint32_t slots) const
+    [[nodiscard]] duration wait(double load, std::uint32_t slots) const
     {
-        if (load < slots || slots == 0) return {};
-        const double ahead = static_cast<double>(load - slots) + 1;
+        const double ahead = load + 1 - slots;
+        if (ahead <= 0 || slots == 0) return {};
         const std::chrono::duration<double> span(ahead * this->mean / slots);
         return std::chrono::duration_cast<duration>(span);
     }
