--- /dev/null
+++ b/apps/worksshift_experiment.cpp
@@ -0,0 +1,125 @@
+/** \file
+ * Plays patterns of load and faults against ways to decide, and writes what each earned.
+ */
+#include <cstdio>
+#include <exception>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <numeric>
+#include <sstream>
+
+#include <boost/program_options.hpp>
+
+#include "errors.h"
+#include "experiment.h"
+#include "experiment_page.h"
+
+namespace {
+
+namespace options = boost::program_options;
+
+struct request {
+    std::vector<std::string> patterns;
+    std::vector<std::string> policies;
+    unsigned seeds = 1;
+    std::string folder; ///< for the page; empty: none
+};
+
+std::vector<std::string> split(const std::string& text)
+{
+    std::vector<std::string> parts;
+    std::istringstream stream(text);
+    for (std::string part; std::getline(stream, part, ',');) {
+        if (!part.empty()) parts.push_back(part);
+    }
+    return parts;
+}
+
+std::string joined(const std::vector<std::string>& names)
+{
+    return std::accumulate(names.begin(), names.end(), std::string(),
+                           [](const std::string& sum, const std::string& name) {
+                               return sum.empty() ? name : sum + ", " + name;
+                           });
+}
+
+/** Empty patterns: only help was asked for. */
+request read(int count, char** arguments)
+{
+    request made;
+    std::string policies;
+    options::options_description all("worksshift-experiment PATTERN... settings");
+    auto add = all.add_options();
+    add("help", "prints this");
+    add("pattern", options::value(&made.patterns), "TOML files of patterns");
+    add("policy", options::value(&policies)->default_value("product,admit-all,all-knowing"),
+        ("comma-separated: " + joined(lab::decision_maker_names())).c_str());
+    add("seeds", options::value(&made.seeds)->default_value(1), "runs of each, 1 to 100");
+    add("out", options::value(&made.folder), "folder for a page with plots");
+    options::positional_options_description positions;
+    positions.add("pattern", -1);
+    options::variables_map values;
+    options::store(
+        options::command_line_parser(count, arguments).options(all).positional(positions).run(),
+        values);
+    options::notify(values);
+    constexpr unsigned most_seeds = 100;
+    if (values.count("help") > 0 || made.patterns.empty()) {
+        std::cout << all << '\n';
+        made.patterns.clear();
+    }
+    if (made.seeds < 1 || made.seeds > most_seeds) {
+        throw worksshift::user_error("settings", "", "seeds is not a number from 1 to 100");
+    }
+    made.policies = split(policies);
+    return made;
+}
+
+void print(const lab::outcome& result, const lab::pattern& given, const std::string& policy,
+           unsigned seed)
+{
+    std::printf("pattern=%s policy=%s seed=%u earned=%.4f on_time=%.4f refused=%.4f "
+                "over_bound=%.4f shared_tokens_read=%llu shared_tokens_copied=%llu\n",
+                given.name.c_str(), policy.c_str(), seed, result.earned_share(),
+                result.on_time_share(), result.refused_share(), result.over_bound,
+                static_cast<unsigned long long>(result.totals.shared_tokens_read),
+                static_cast<unsigned long long>(result.totals.shared_tokens_copied));
+    for (const auto& [name, kind] : result.kinds) {
+        std::printf("  kind=%s asked=%zu on_time=%zu late=%zu refused=%zu left=%zu\n", name.c_str(),
+                    kind.asked, kind.on_time, kind.late, kind.refused, kind.left);
+    }
+    std::fflush(stdout);
+}
+
+} // namespace
+
+int main(int count, char** arguments)
+{
+    try {
+        const request asked = read(count, arguments);
+        std::vector<lab::played> all;
+        for (const std::string& file : asked.patterns) {
+            const lab::pattern given = lab::read_pattern(file);
+            for (const std::string& policy : asked.policies) {
+                const lab::decision_maker decides = lab::make_decision_maker(policy);
+                for (unsigned seed = 1; seed <= asked.seeds; ++seed) {
+                    all.push_back({given.name, policy, lab::play(given, decides, seed)});
+                    print(all.back().result, given, policy, seed);
+                }
+            }
+        }
+        if (!asked.folder.empty() && !all.empty()) {
+            std::filesystem::create_directories(asked.folder);
+            std::ofstream(std::filesystem::path(asked.folder) / "experiment.html")
+                << lab::write_page(all);
+        }
+        return 0;
+    } catch (const worksshift::error& fault) {
+        std::cerr << "worksshift-experiment: " << fault.step << ' ' << fault.peer << ": "
+                  << fault.what() << '\n';
+    } catch (const std::exception& fault) {
+        std::cerr << "worksshift-experiment: " << fault.what() << '\n';
+    }
+    return 2;
+}
--- /dev/null
+++ b/lab/emulated_engine.cpp
@@ -0,0 +1,112 @@
+#include "emulated_engine.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace lab {
+
+using namespace worksshift;
+
+namespace {
+
+duration in_ms(double value)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(value));
+}
+
+} // namespace
+
+bool emulated_engine::take(const engine_request& request)
+{
+    if (this->waiting.size() >= this->figures.queue) return false;
+    const auto place =
+        std::ranges::upper_bound(this->waiting, request.priority, {}, &engine_request::priority);
+    this->waiting.insert(place, request);
+    return true;
+}
+
+void emulated_engine::cancel(std::uint64_t id)
+{
+    std::erase_if(this->waiting, [id](const engine_request& item) { return item.id == id; });
+    this->running.remove_if([id](const run& item) { return item.request.id == id; });
+}
+
+void emulated_engine::restart()
+{
+    this->running.clear();
+    this->waiting.clear();
+    this->cache.clear();
+    this->cache_size = 0;
+}
+
+void emulated_engine::admit()
+{
+    while (!this->waiting.empty() && this->running.size() < this->figures.slots) {
+        const engine_request request = this->waiting.front();
+        this->waiting.erase(this->waiting.begin());
+        run item{request, request.own_tokens, 0};
+        const bool shared = request.shared != 0 && !this->holds(request.shared);
+        if (shared && request.copied) this->totals.shared_tokens_copied += request.shared_tokens;
+        if (shared && !request.copied) {
+            item.unread += request.shared_tokens;
+            this->totals.shared_tokens_read += request.shared_tokens;
+        }
+        if (request.shared != 0) this->keep(request);
+        this->running.push_back(item);
+    }
+}
+
+/** The least recently used parts yield. */
+void emulated_engine::keep(const engine_request& request)
+{
+    cached& item = this->cache[request.shared];
+    if (item.tokens == 0) this->cache_size += request.shared_tokens;
+    item = {std::max(request.shared_tokens, 1U), ++this->uses};
+    while (this->cache_size > this->figures.cache_tokens && this->cache.size() > 1) {
+        const auto oldest = std::ranges::min_element(
+            this->cache, {}, [](const auto& entry) { return entry.second.used; });
+        this->cache_size -= std::min<std::uint64_t>(this->cache_size, oldest->second.tokens);
+        this->cache.erase(oldest);
+    }
+}
+
+/** Reads the next chunk of prompts. Returns the time that it takes, in milliseconds. */
+double emulated_engine::read_prompts()
+{
+    std::uint32_t left = this->figures.chunk_tokens;
+    for (run& item : this->running) {
+        const std::uint32_t read = std::min(left, item.unread);
+        item.unread -= read;
+        left -= read;
+    }
+    const std::uint32_t read = this->figures.chunk_tokens - left;
+    this->totals.tokens_read += read;
+    return read / this->figures.prompt_tokens_per_ms;
+}
+
+void emulated_engine::step(instant now)
+{
+    if (this->dark || now < this->busy_until) return;
+    this->admit();
+    if (this->running.empty()) return;
+    const double reading = this->read_prompts();
+    const double taken =
+        this->figures.step_ms + reading +
+        this->figures.step_ms_per_request * static_cast<double>(this->running.size());
+    this->busy_until = now + in_ms(taken * this->slowness);
+    std::vector<std::uint64_t> ended;
+    for (run& item : this->running) {
+        if (item.unread > 0) continue;
+        const instant first =
+            this->busy_until + in_ms(this->figures.first_event_ms * this->slowness);
+        if (item.produced++ == 0) this->on_first_event(item.request.id, first);
+        if (item.produced >= item.request.answer_tokens) ended.push_back(item.request.id);
+    }
+    this->running.remove_if([](const run& item) {
+        return item.unread == 0 && item.produced >= item.request.answer_tokens;
+    });
+    for (const std::uint64_t id : ended)
+        this->on_end(id, this->busy_until + in_ms(this->figures.first_event_ms * this->slowness));
+}
+
+} // namespace lab
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -1,6 +1,7 @@
 #include "admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace worksshift {
 
@@ -13,8 +14,9 @@
 
 } // namespace
 
-verdict admission::decide(const placing& wanted, bool may_refuse, instant now)
+verdict admission::decide(placing wanted, bool may_refuse, instant now)
 {
+    if (wanted.engine) wanted.engines = this->engines_for(wanted, now);
     const placed where = this->table.choose(wanted, now);
     if (where.row == nullptr) return no_server{};
     if (!wanted.engine) return send_to{where};
@@ -29,6 +31,19 @@
     return send_to{where};
 }
 
+/** As many as the prompt's requests fill half of the slots of. */
+std::size_t admission::engines_for(const placing& wanted, instant now) const
+{
+    const service_load load = this->table.load_of(wanted.service);
+    if (wanted.affinity == 0 || load.engines == 0 || load.slots <= 0) return 1;
+    const double asked = this->prompts.rate(wanted.affinity, now) * this->fleet_multiple;
+    const double share = this->table.policy.hot_prompt_share;
+    if (share <= 0) return 1;
+    const double slots = share * load.slots / static_cast<double>(load.engines);
+    const auto engines = static_cast<std::size_t>(std::ceil(asked * load.span_s / slots));
+    return std::clamp<std::size_t>(engines, 1, load.engines);
+}
+
 /** Share of the requests that the engines can serve while nearly all their slots are taken. */
 admission_view admission::look_at(const service_id& service, instant now)
 {
@@ -41,7 +56,8 @@
     const double admitted = state.admitted.rate(now) * this->fleet_multiple;
     const double grown = std::max(admitted - view.served, 0.0) * as_seconds(loads_are_late_by);
     view.taken = (load.requests + grown) / load.slots;
-    if (view.taken < busy_from || view.asked <= 0) return view;
+    const double busy_from = this->table.policy.busy_from;
+    if (busy_from <= 0 || view.taken < busy_from || view.asked <= 0) return view;
     // What waits already is worked off, what is free is filled.
     const double correction = std::clamp(2 - view.taken, least_correction, most_correction);
     view.share = std::min(1.0, view.served / view.asked * correction);
--- a/src/admission.h
+++ b/src/admission.h
@@ -16,6 +16,7 @@
 
 #include "demand_meter.h"
 #include "overload_watch.h"
+#include "prompt_demand.h"
 #include "server_table.h"
 
 namespace worksshift {
@@ -45,20 +46,18 @@
 /** The rate that is admitted is lower and higher than the engines' pace by these at most. */
 constexpr double least_correction = 0.4;
 constexpr double most_correction = 1.25;
-/** Engines are busy from this share of their slots on; below it nothing is refused by rate. */
-constexpr double busy_from = 0.85;
-
 class admission {
 public:
     explicit admission(server_table& table) : table(table) {}
 
-    /** A request came that any VM could have got. */
-    void on_request(const service_id& service, instant now)
+    /** A request for a model engine came. */
+    void on_request(const service_id& service, std::uint64_t prompt, instant now)
     {
         this->services[service].demand.on_request(now);
+        if (prompt != 0) this->prompts.on_request(prompt, now);
     }
     /** \p may_refuse: the request has run nowhere, so it is true to say so. */
-    verdict decide(const placing& wanted, bool may_refuse, instant now);
+    verdict decide(placing wanted, bool may_refuse, instant now);
 
     /** Requests for model engines that come to this VM, per second. */
     [[nodiscard]] double engine_requests_per_s(instant now) const;
@@ -72,10 +71,12 @@
         overload_watch overload;
     };
 
+    [[nodiscard]] std::size_t engines_for(const placing& wanted, instant now) const;
     [[nodiscard]] admission_view look_at(const service_id& service, instant now);
 
     server_table& table;
     std::map<service_id, service_state> services;
+    prompt_demand prompts;
     double fleet_multiple = 1;
     std::minstd_rand random{std::random_device{}()};
 };
--- a/src/placement_policy.h
+++ b/src/placement_policy.h
@@ -15,12 +15,20 @@
      * the shortest latency objective of its service; 0 refuses nothing. Reading the prompt and the
      * first step take up to another third. */
     double wait_of_objective = 0.5;
+    /** While this share of all slots is taken, requests are admitted at the engines' pace; 0
+     * switches that off. Loads of single engines are known too late in a fleet of 80 VMs: with
+     * their sums alone, the median first event of a wave came after 1,000 ms, and after 290 ms with
+     * both. */
+    double busy_from = 0.85;
     /** Engines in rank of a prompt that are let get full: a request is refused rather than have its
      * prompt copied to one more engine while all are busy. In a wave of long prompts, copies fell
      * from 770 to 110 GB with it, and 4% more requests were served. */
     std::size_t ranks_to_wait_at = 3;
     /** Beyond these an engine is taken while its load is below this share of its slots. */
     double free_share = 0.5;
+    /** A prompt is spread over so many engines that its own requests take this share of the slots
+     * of each; 0 spreads none. */
+    double hot_prompt_share = 0.5;
     /** Requests draw the load at which an engine is full from this far to either side of it. Loads
      * of other VMs are known late; without it all VMs send to an engine, or stop, at the same
      * moment. */
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -141,7 +141,7 @@
         this->numbers.count("worksshift_ignored_resumptions_total");
     }
     this->budgets[item.service].on_request(item.arrived);
-    if (item.engine) this->admitting.on_request(item.service, item.arrived);
+    if (item.engine) this->admitting.on_request(item.service, item.affinity, item.arrived);
     return true;
 }
 
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -105,6 +105,7 @@
         group.sum.span_s = std::chrono::duration<double>(group.forecast.span()).count();
         for (const server_entry* row : group.rows) {
             if (!row->takes_work() || !row->health.usable(now) || row->quiet(now)) continue;
+            ++group.sum.engines;
             group.sum.slots += row->record.slots;
             group.sum.requests += row->load();
         }
@@ -225,6 +226,20 @@
     return result;
 }
 
+/** Lets the first in rank change places, so that requests of one prompt are spread over them. */
+void server_table::shuffle_first(std::vector<std::uint64_t>& weights, std::size_t count)
+{
+    const std::uint64_t last = weight_at(weights, count);
+    std::vector<std::uint64_t> first;
+    std::ranges::copy_if(weights, std::back_inserter(first),
+                         [last](std::uint64_t weight) { return weight >= last; });
+    std::ranges::shuffle(first, this->random);
+    auto next = first.begin();
+    for (std::uint64_t& weight : weights) {
+        if (weight >= last) weight = *next++;
+    }
+}
+
 /** Looks at each server once: sorting them all by rank took 301 us at 1,400 servers, this takes
  * 38 us (`measure router`). */
 placed server_table::choose_engine(const placing& wanted, const row_list& rows)
@@ -233,8 +248,11 @@
     placed result;
     result.mean_load = mean_load(rows);
     const double bound = load_bound(result.mean_load);
-    const std::vector<std::uint64_t> weights = rank_weights(rows, wanted.affinity);
-    const std::size_t ranks = wanted.affinity == 0 ? rows.size() : this->policy.ranks_to_wait_at;
+    std::vector<std::uint64_t> weights = rank_weights(rows, wanted.affinity);
+    if (wanted.engines > 1) this->shuffle_first(weights, wanted.engines);
+    const std::size_t ranks = wanted.affinity == 0
+                                  ? rows.size()
+                                  : std::max(this->policy.ranks_to_wait_at, wanted.engines);
     const std::uint64_t near = weight_at(weights, ranks);
     std::uniform_real_distribution<double> spreads(-1, 1);
     const double spread = spreads(this->random) * this->policy.spread_of_loads;
@@ -250,7 +268,8 @@
     const bool least = result.crowded || wanted.affinity == 0;
     result.row = least ? *std::ranges::min_element(rows, {}, &server_entry::load) : rows[best];
     result.wait = group.wait_at(*result.row);
-    const std::uint64_t weight = rendezvous_weight(wanted.affinity, result.row->hash);
+    const auto at = std::ranges::find(rows, result.row) - rows.begin();
+    const std::uint64_t weight = weights[static_cast<std::size_t>(at)];
     result.rank = static_cast<std::size_t>(
         std::ranges::count_if(weights, [weight](std::uint64_t other) { return other > weight; }));
     return result;
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -101,9 +101,7 @@
     bool engine = false;
     std::uint64_t affinity = 0; ///< hash of the shared part of the prompt; 0: none
     std::span<const server_id> tried;
-    /** Engines whose first events came later than this lately are taken only if there is no other.
-     */
-    duration delay_limit = duration::max();
+    std::size_t engines = 1; ///< that the prompt is spread over, the first in rank
 };
 
 struct placed {
@@ -120,6 +118,7 @@
 
 /** The engines of a service together, those that are failing or out of reach left out. */
 struct service_load {
+    std::size_t engines = 0;
     double slots = 0;
     double requests = 0;
     double span_s = 0; ///< for which a request holds a slot, mean
@@ -197,6 +196,7 @@
     [[nodiscard]] bool has_slot(const service_state& group, const server_entry& row, bool near,
                                 double spread) const;
     [[nodiscard]] duration wait_limit(const service_state& group) const;
+    void shuffle_first(std::vector<std::uint64_t>& weights, std::size_t count);
     void mark_slow(service_state& group, instant now) const;
 
     std::unordered_map<service_id, service_state> services;
