Figures of the placement are settings; nobody is refused by urgency while slots are free

Tests: admission_refuses_what_cannot_begin (less_urgent_with_free_slots, failing before), router_settings_name_the_fault.

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -30,8 +30,7 @@
     service_state& state = this->services[wanted.service];
     state.usual_priority += (wanted.priority - state.usual_priority) / requests_of_usual;
     const admission_view view = this->look_at(wanted.service, now);
-    std::uniform_real_distribution<double> draw(0, 1);
-    const bool refused = where.crowded || draw(this->random) > view.share * state.favour(wanted);
+    const bool refused = where.crowded || this->over_rate(view.share * state.favour(wanted), view);
     if (refused && may_refuse) {
         return come_back{where, state.overload.refuse(now, this->random), view};
     }
@@ -39,6 +38,14 @@
     return send_to{where};
 }
 
+/** Draws whether the request is beyond the \p share that is admitted of its urgency. */
+bool admission::over_rate(double share, const admission_view& view)
+{
+    // Whom urgency favours matters only where some have to go.
+    if (view.share >= 1) return false;
+    return std::uniform_real_distribution<double>(0, 1)(this->random) > share;
+}
+
 double admission::service_state::favour(const placing& wanted) const
 {
     const double ahead = this->usual_priority - wanted.priority;
--- a/src/admission.h
+++ b/src/admission.h
@@ -46,7 +46,7 @@
 /** A request that is one step of urgency ahead of the mean is admitted this much more often, within
  * the limits below. Kinds whose callers come back later, deeper into an overload, would else be
  * served less often than less urgent ones. */
-constexpr double favour_of_urgency = 0.25;
+constexpr double favour_of_urgency = 0.4;
 constexpr double least_favour = 0.5;
 constexpr double most_favour = 1.5;
 /** Requests over which the mean urgency is taken. */
@@ -86,6 +86,7 @@
         overload_watch overload;
     };
 
+    bool over_rate(double share, const admission_view& view);
     [[nodiscard]] std::size_t engines_for(const placing& wanted, instant now) const;
     [[nodiscard]] admission_view look_at(const service_id& service, instant now);
 
--- a/src/placement_policy.h
+++ b/src/placement_policy.h
@@ -4,10 +4,6 @@
  */
 #pragma once
 
-#include <cstddef>
-
-#include "ids.h"
-
 namespace worksshift {
 
 struct placement_policy {
@@ -23,7 +19,7 @@
     /** Engines in rank of a prompt that are let get full: a request is refused rather than have its
      * prompt copied to one more engine while all are busy. In a wave of long prompts, copies fell
      * from 770 to 110 GB with it, and 4% more requests were served. */
-    std::size_t ranks_to_wait_at = 3;
+    double ranks_to_wait_at = 3;
     /** Beyond these an engine is taken while its load is below this share of its slots. */
     double free_share = 0.5;
     /** A prompt is spread over so many engines that its own requests take this share of the slots
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -82,6 +82,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     raise_file_limit();
     this->path.set_budget(this->options.retries);
+    this->servers.policy = this->options.placement;
     this->settings_text = read_text(this->options.file);
     this->connect_signals();
     this->serve_peers();
@@ -319,6 +320,7 @@
         this->gossip.add_seeds(given.seeds);
         set_log_level(given.level);
         this->path.set_budget(given.retries);
+        this->servers.policy = given.placement;
         log_event(log_level::info, "reloaded", {{"cause", cause}});
     } catch (const error& fault) {
         log_event(log_level::error, "reload_refused",
--- a/src/router_settings.cpp
+++ b/src/router_settings.cpp
@@ -1,5 +1,6 @@
 #include "router_settings.h"
 
+#include <array>
 #include <charconv>
 #include <sstream>
 
@@ -11,6 +12,48 @@
 
 namespace options = boost::program_options;
 
+/** One figure of the placement, which measurements vary or switch off. */
+struct placement_setting {
+    const char* name;
+    double placement_policy::*figure;
+    double highest;
+    const char* text;
+};
+
+constexpr std::array placement_settings{
+    placement_setting{"wait-of-objective", &placement_policy::wait_of_objective, 10,
+                      "share of the objective that a request may wait for a slot, 0 to 10; 0: any"},
+    placement_setting{"busy-from", &placement_policy::busy_from, 10,
+                      "share of slots from which requests are admitted by rate, 0 to 10; 0: never"},
+    placement_setting{"ranks-to-wait-at", &placement_policy::ranks_to_wait_at, 10000,
+                      "engines in rank of a prompt that may get full, 0 to 10000"},
+    placement_setting{"free-share", &placement_policy::free_share, 10,
+                      "share of slots below which any engine is taken, 0 to 10"},
+    placement_setting{
+        "slow-multiple", &placement_policy::slow_multiple, 1000,
+        "delay, against that of the first quartile, of a slow engine, 0 to 1000; 0: none"},
+    placement_setting{
+        "patience-while-heard", &placement_policy::patience_while_heard, 1000,
+        "multiple of the silence that a server which answers others is given, 0 to 1000"},
+    placement_setting{"hot-prompt-share", &placement_policy::hot_prompt_share, 10,
+                      "share of an engine's slots that one prompt fills, 0 to 10; 0: any"},
+    placement_setting{"lateness-margin", &placement_policy::lateness_margin, 100,
+                      "deviations of unseen load taken off the load bound, 0 to 100"},
+    placement_setting{"load-spread", &placement_policy::spread_of_loads, 1000,
+                      "requests by which the load of a full engine is drawn apart, 0 to 1000"},
+};
+
+void describe_placement(options::options_description& all)
+{
+    const placement_policy fallback;
+    for (const placement_setting& item : placement_settings) {
+        std::ostringstream value;
+        value << fallback.*item.figure;
+        all.add_options()(item.name, options::value<std::string>()->default_value(value.str()),
+                          item.text);
+    }
+}
+
 options::options_description describe()
 {
     const auto text = [] { return options::value<std::string>(); };
@@ -37,6 +80,7 @@
     add("retry-ratio", with("0.2"), "repeats for each request to a service, 0 to 1");
     add("retry-window-s", with("10"), "seconds over which repeats are counted, 1 to 3600");
     add("retry-slack", with("50"), "repeats beyond the ratio in a window, 0 to 1000000");
+    describe_placement(all);
     return all;
 }
 
@@ -123,6 +167,8 @@
     result.retries.ratio = given.number("retry-ratio", 0, 1);
     result.retries.window = to_duration(given.number("retry-window-s", 1, longest_span_s));
     result.retries.slack = given.number("retry-slack", 0, largest_slack);
+    for (const placement_setting& item : placement_settings)
+        result.placement.*item.figure = given.number(item.name, 0, item.highest);
     return result;
 }
 
--- a/src/router_settings.h
+++ b/src/router_settings.h
@@ -11,6 +11,7 @@
 #include "fleet_retry_budget.h"
 #include "link_address.h"
 #include "log.h"
+#include "placement_policy.h"
 
 namespace worksshift {
 
@@ -27,6 +28,7 @@
     std::size_t log_lines_per_s = log_bounds{}.lines_per_s;
     duration stop_grace = seconds(8); ///< from SIGTERM to the end
     fleet_retry_settings retries;
+    placement_policy placement;
     std::string file; ///< empty: none
     bool check_only = false;
     bool help = false;
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -276,9 +276,10 @@
     const double bound = this->load_bound_of(group, result.mean_load);
     std::vector<std::uint64_t> weights = rank_weights(rows, wanted.affinity);
     if (wanted.engines > 1) this->shuffle_first(weights, wanted.engines);
-    const std::size_t ranks = wanted.affinity == 0
-                                  ? rows.size()
-                                  : std::max(this->policy.ranks_to_wait_at, wanted.engines);
+    const std::size_t ranks =
+        wanted.affinity == 0
+            ? rows.size()
+            : std::max(static_cast<std::size_t>(this->policy.ranks_to_wait_at), wanted.engines);
     const std::uint64_t near = weight_at(weights, ranks);
     std::uniform_real_distribution<double> spreads(-1, 1);
     const double spread = spreads(this->random) * this->policy.spread_of_loads;
--- a/test/correctness/admission_refuses_what_cannot_begin.cpp
+++ b/test/correctness/admission_refuses_what_cannot_begin.cpp
@@ -20,6 +20,7 @@
 class admission_refuses_what_cannot_begin : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(admission_refuses_what_cannot_begin);
     CPPUNIT_TEST(free_slots);
+    CPPUNIT_TEST(less_urgent_with_free_slots);
     CPPUNIT_TEST(no_slot_in_time);
     CPPUNIT_TEST(what_may_have_run);
     CPPUNIT_TEST(retry_after_grows);
@@ -77,6 +78,19 @@
         CPPUNIT_ASSERT(this->is_sent());
     }
 
+    /** Urgency decides who has to go, and nobody has to while slots are free. */
+    void less_urgent_with_free_slots()
+    {
+        this->load_all(1);
+        for (int i = 0; i < 400; ++i) {
+            this->now += milliseconds(20);
+            const unsigned priority = i % 4;
+            const verdict decided =
+                this->admitting->decide({llm, true, 7, {}, priority}, true, this->now);
+            CPPUNIT_ASSERT(std::holds_alternative<send_to>(decided));
+        }
+    }
+
     void no_slot_in_time()
     {
         // Half of the objective is 200 ms: two requests may wait, and not a third.
--- /dev/null
+++ b/test/error/router_settings_name_the_fault.cpp
@@ -0,0 +1,59 @@
+/** \file
+ * The router refuses a bad setting with an error that names it, its value and the valid range; the
+ * figures of the placement can be set and switched off.
+ */
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "router_settings.h"
+
+namespace {
+
+using namespace worksshift;
+
+class router_settings_name_the_fault : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(router_settings_name_the_fault);
+    CPPUNIT_TEST(figures_of_placement);
+    CPPUNIT_TEST(figures_out_of_range);
+    CPPUNIT_TEST_SUITE_END();
+
+    static router_settings parse(std::vector<const char*> more)
+    {
+        std::vector<const char*> all{"worksshift-router",       "--vm=a",
+                                     "--data-centre=dc",        "--front=127.0.0.1:1",
+                                     "--readiness=127.0.0.1:2", "--peer-address=127.0.0.1",
+                                     "--peer-port=3",           "--store=127.0.0.1:4"};
+        all.insert(all.end(), more.begin(), more.end());
+        return parse_router_settings(static_cast<int>(all.size()), all.data());
+    }
+
+public:
+    static void figures_of_placement()
+    {
+        const placement_policy usual;
+        const placement_policy given = parse({}).placement;
+        CPPUNIT_ASSERT_EQUAL(usual.wait_of_objective, given.wait_of_objective);
+        CPPUNIT_ASSERT_EQUAL(usual.ranks_to_wait_at, given.ranks_to_wait_at);
+        const placement_policy off = parse({"--busy-from=0", "--slow-multiple=0"}).placement;
+        CPPUNIT_ASSERT_EQUAL(0.0, off.busy_from);
+        CPPUNIT_ASSERT_EQUAL(0.0, off.slow_multiple);
+    }
+
+    static void figures_out_of_range()
+    {
+        for (const char* bad :
+             {"--free-share=-1", "--hot-prompt-share=much", "--load-spread=1e9"}) {
+            try {
+                parse({bad});
+                CPPUNIT_FAIL(bad);
+            } catch (const user_error& fault) {
+                const std::string name =
+                    std::string(bad + 2).substr(0, std::string(bad + 2).find('='));
+                CPPUNIT_ASSERT_MESSAGE(fault.what(), std::string(fault.what()).starts_with(name));
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(router_settings_name_the_fault);
+
+} // namespace
