--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -467,9 +467,8 @@
         std::max<duration>(shortest_silence, item.way->latency_objective * silence_of_objective);
     // A server that answers others is busy with what came before, not out of reach.
     const bool heard = time - item.row->heard_at <= server_entry::quiet_after;
-    if (heard)
-        limit =
-            std::chrono::duration_cast<duration>(limit * this->table.policy.patience_while_heard);
+    const double patience = heard ? this->table.policy.patience_while_heard : 1;
+    limit = std::chrono::duration_cast<duration>(limit * patience);
     if (time - item.last_byte < limit) return;
     if (item.runs + 1 >= item.way->attempts) return;
     // The attempt under way may run, so it counts as one before another is asked for.
--- a/src/visitor.h
+++ b/src/visitor.h
@@ -10,4 +10,7 @@
     using Branches::operator()...;
 };
 
+template <class... Branches>
+visitor(Branches...) -> visitor<Branches...>;
+
 } // namespace worksshift
--- a/test/error/forged_headers.cpp
+++ b/test/error/forged_headers.cpp
@@ -81,9 +81,10 @@
 
     static void assert_clean(const scripted_server& server)
     {
-        for (const std::string& seen : server.requests)
+        for (const std::string& seen : server.requests) {
             CPPUNIT_ASSERT_EQUAL_MESSAGE(seen, std::size_t{0},
                                          count_of(seen, std::string(forged_value)));
+        }
     }
 
 public:
@@ -133,9 +134,10 @@
     void never_on_a_resumed_send()
     {
         const auto break_off = [](const std::string& request) {
-            if (!header_in(request, "last-event-id").empty())
+            if (!header_in(request, "last-event-id").empty()) {
                 return scripted_answer{stream_head(request) + event_chunk(2, "y") + "0\r\n\r\n",
                                        then::keep};
+            }
             return scripted_answer{stream_head(request) + event_chunk(1, "x"), then::close};
         };
         scripted_server& first = this->rig->add_server("a", "llm", break_off);
@@ -185,7 +187,7 @@
         const std::string text = this->rig->numbers.text();
         for (const std::string name : reserved) {
             const std::string line = "worksshift_ignored_headers_total{header=\"" + name + "\"} 2";
-            CPPUNIT_ASSERT_MESSAGE(line + " in " + text, text.find(line) != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(line, text.find(line) != std::string::npos);
         }
     }
 };
