Comments of stated loads and of the spread of prompts say what holds

Cause: one comment named an older figure, three public functions had none. Ruled out: any change of behaviour; only comments and one local name.

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -52,7 +52,7 @@
     return std::clamp(1 + favour_of_urgency * ahead, least_favour, most_favour);
 }
 
-/** As many as the prompt's requests fill half of the slots of. */
+/** As many as it takes for the prompt's requests to fill no more than their share of each. */
 std::size_t admission::engines_for(const placing& wanted, instant now) const
 {
     const service_load load = this->table.load_of(wanted.service);
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -64,9 +64,11 @@
     [[nodiscard]] std::uint32_t load() const
     {
         if (!this->stated_is_fresh) return this->in_flight + this->peers_in_flight;
-        const std::uint32_t now = this->stated + this->in_flight;
-        return std::max(this->in_flight, now - std::min(now, this->in_flight_when_stated));
+        // Own requests that came or went since are known exactly.
+        const std::uint32_t total = this->stated + this->in_flight;
+        return std::max(this->in_flight, total - std::min(total, this->in_flight_when_stated));
     }
+    /** The server had \p requests under way at the time \p at. An older word is passed over. */
     void state(std::uint32_t requests, instant at)
     {
         if (at <= this->stated_at) return;
@@ -88,7 +90,9 @@
  * read again on a calm day fell from 1.30 to 0.85 million, with first tokens as early as before. */
 constexpr double load_bound_multiple = 1.7;
 constexpr double load_bound_spare = 2.5;
-/** A stated load is used for so long. */
+/** A stated load is used for so long. With 1 s, engines counted as idle between two statements, and
+ * prompts were copied to them (14 s of a wave before 112 engines: 1,684 GB, and 892 GB with 3 s).
+ */
 constexpr duration stated_load_for = milliseconds(3000);
 /** From this share of its bound on a server is busy. */
 constexpr double busy_share = 0.7;
@@ -154,8 +158,9 @@
         this->services[service].objective = objective;
     }
     placement_policy policy;
-    /** As of the last tick. */
+    /** As of the last `sum_loads`. */
     [[nodiscard]] service_load load_of(const service_id& service) const;
+    /** Adds the loads of each service up; once a tick. */
     void sum_loads(instant now);
     /** Servers near their load bound: what other VMs need to know of first. */
     [[nodiscard]] std::vector<const server_entry*> busy() const;
