A server that starts again is a new one; entries that no server wrote name none

Cause: a row of the table was kept by id alone, so a server that started again under its id kept the load, pauses, delays, connections and attempts of its former life, and a late entry of that life could set it draining. One entry that no parser takes (a number out of range, bytes that are not UTF-8, a name of another type) threw out of the whole page, and out of the event loop: the process ended. Fields that were missing got defaults and the address was used.

Ruled out: telling the lives of connections apart by the time of `born` (clocks of machines differ and step); cutting attempts under way when a new life is listed (some may already be with it): they keep a row of their own and the silence limit decides.

One that turns unreadable is a server gone. One line a second about them, and worksshift_registry_unreadable_total.

--- a/src/object_watch.cpp
+++ b/src/object_watch.cpp
@@ -83,12 +83,10 @@
 
 void object_watch::take_list(const http_response& response)
 {
-    if (response.status != ok) {
-        this->fail(response, "list");
-        return;
-    }
+    std::optional<object_page> answer = this->decode(response, "list");
+    if (!answer) return;
     this->note_answer();
-    object_page page = this->dialect.decode_page(response.body);
+    object_page& page = *answer;
     if (page.truncated && this->changed == 0) this->on_first_part.emit(page.objects);
     std::ranges::move(page.objects, std::back_inserter(this->gathered));
     if (page.truncated && !this->gathered.empty()) {
@@ -113,12 +111,10 @@
         this->next.start_once(duration::zero());
         return;
     }
-    if (response.status != ok) {
-        this->fail(response, "watch");
-        return;
-    }
+    const std::optional<object_page> answer = this->decode(response, "watch");
+    if (!answer) return;
     this->note_answer();
-    const object_page page = this->dialect.decode_page(response.body);
+    const object_page& page = *answer;
     this->revision = std::max(this->revision, page.revision);
     if (!page.objects.empty()) this->changed = this->revision;
     for (const stored_object& item : page.objects)
@@ -136,12 +132,39 @@
     this->on_reachable.emit(true);
 }
 
-void object_watch::fail(const http_response& response, const char* step)
+/** The page that the answer holds; nothing when the call failed. */
+std::optional<object_page> object_watch::decode(const http_response& response, const char* step)
+{
+    if (response.status != ok) {
+        this->fail(response.status, step, {});
+        return std::nullopt;
+    }
+    try {
+        object_page page = this->dialect.decode_page(response.body);
+        this->unreadable_total += page.unreadable;
+        if (page.unreadable > 0) {
+            log_event(log_level::warn, "entries_unreadable",
+                      {{"kind", name_of(this->kind)},
+                       {"step", step},
+                       {"entries", page.unreadable},
+                       {"total", this->unreadable_total}});
+        }
+        return page;
+    } catch (const error& fault) {
+        this->fail(response.status, step, fault.what());
+        return std::nullopt;
+    }
+}
+
+void object_watch::fail(int status, const char* step, std::string_view reason)
 {
     if (this->answering) {
         this->answering = false;
         log_event(log_level::warn, "store_lost",
-                  {{"kind", name_of(this->kind)}, {"step", step}, {"status", response.status}});
+                  {{"kind", name_of(this->kind)},
+                   {"step", step},
+                   {"status", status},
+                   {"reason", reason}});
         this->on_reachable.emit(false);
     }
     // Between half of the pause and the whole.
--- a/src/object_watch.h
+++ b/src/object_watch.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -69,6 +70,8 @@
     [[nodiscard]] bool follows() const { return this->active && this->listed && this->answering; }
     /** When the store last came back. */
     [[nodiscard]] instant regained_at() const { return this->regained; }
+    /** How often an object was met whose name cannot be read. */
+    [[nodiscard]] std::uint64_t unreadable() const { return this->unreadable_total; }
     /** Revision of the newest change that was received. */
     [[nodiscard]] std::uint64_t changed_revision() const { return this->changed; }
 
@@ -80,7 +83,8 @@
               void (object_watch::*take)(const http_response&));
     void take_list(const http_response& response);
     void take_changes(const http_response& response);
-    void fail(const http_response& response, const char* step);
+    std::optional<object_page> decode(const http_response& response, const char* step);
+    void fail(int status, const char* step, std::string_view reason);
     void note_answer();
 
     http_caller& caller;
@@ -91,6 +95,7 @@
     std::vector<stored_object> gathered;
     std::uint64_t revision = 0;
     std::uint64_t changed = 0;
+    std::uint64_t unreadable_total = 0;
     std::uint64_t calls = 0; ///< number of the call whose answer is awaited
     milliseconds span = default_wait;
     bool active = true;
--- a/src/protocol.h
+++ b/src/protocol.h
@@ -132,6 +132,9 @@
     data_centre_id data_centre;
     std::uint32_t slots = 1;
     bool draining = false;
+    /** Unix time of its start in milliseconds; 0: it does not tell. A server that starts again may
+     * keep its id, so this is what tells its lives apart. */
+    std::uint64_t born_ms = 0;
 };
 
 /** An object of the store, as far as the store itself defines it. */
@@ -147,6 +150,9 @@
     std::vector<stored_object> objects;
     bool truncated = false;
     std::uint64_t revision = 0; ///< of the store, from which a watch goes on
+    /** Entries whose name cannot be read. One whose name can be read is among the objects, whatever
+     * its document holds. */
+    std::size_t unreadable = 0;
 };
 
 enum class object_kind : std::uint8_t { configuration, servers };
--- a/src/registry_follower.cpp
+++ b/src/registry_follower.cpp
@@ -28,8 +28,9 @@
     : caller(caller), gossip(gossip), table(table), registry(table, dialect),
       watch(base, caller, store, dialect, object_kind::servers)
 {
-    this->watch.on_first_part.connect(
-        [this](const std::vector<stored_object>& part) { this->registry.take_part(part); });
+    this->watch.on_first_part.connect([this](const std::vector<stored_object>& part) {
+        this->registry.take_part(part, std::chrono::steady_clock::now());
+    });
     this->watch.on_list.connect([this](const std::vector<stored_object>& all) {
         this->apply({this->watch.changed_revision(), true, all});
         this->gossip.hasten();
@@ -39,6 +40,8 @@
         this->gossip.hasten();
     });
     this->registry.on_leaving.connect([this](const server_id& id) { this->on_leaving.emit(id); });
+    this->registry.on_restarted.connect(
+        [this](const server_id& id) { this->on_restarted.emit(id); });
 }
 
 void registry_follower::apply(const registry_update& update)
--- a/src/registry_follower.h
+++ b/src/registry_follower.h
@@ -40,8 +40,16 @@
     [[nodiscard]] bool store_reachable() const { return this->watch.reachable(); }
     [[nodiscard]] bool follows() const { return this->watch.follows(); }
 
+    /** How often an entry was met that no server can have written. */
+    [[nodiscard]] std::uint64_t unreadable() const
+    {
+        return this->registry.unreadable() + this->watch.unreadable();
+    }
+
     /** The server takes no new work any more. */
     sigc::signal<void(const server_id&)> on_leaving;
+    /** The server started again under its id. */
+    sigc::signal<void(const server_id&)> on_restarted;
 
 private:
     void ask_peer(instant now);
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -132,6 +132,7 @@
         if (this->serving) this->path.set_config(this->configuration.config());
     });
     this->registry.on_leaving.connect([this](const server_id& id) { this->links.forget(id); });
+    this->registry.on_restarted.connect([this](const server_id& id) { this->links.forget(id); });
     this->gossip.on_digest.connect([this](const fleet_vm& from) {
         this->loads_changed = true;
         for (const stated_load& item : from.last.stated_loads)
@@ -289,6 +290,7 @@
     text << "worksshift_config_version " << this->configuration.version() << '\n';
     text << "worksshift_registry_watched " << (this->duty.watching() ? 1 : 0) << '\n';
     text << "worksshift_store_reachable " << (this->registry.store_reachable() ? 1 : 0) << '\n';
+    text << "worksshift_registry_unreadable_total " << this->registry.unreadable() << '\n';
     text << "worksshift_digest_bytes_sent_total " << this->gossip.bytes_sent() << '\n';
     text << "worksshift_vms_heard " << this->gossip.fleet().heard(now()).size() << '\n';
     return text.str();
--- a/src/server_registry.cpp
+++ b/src/server_registry.cpp
@@ -1,6 +1,7 @@
 #include "server_registry.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 #include "errors.h"
 #include "log.h"
@@ -10,19 +11,21 @@
 void server_registry::take_list(std::span<const stored_object> all, instant now)
 {
     this->listed = true;
+    std::unordered_set<std::string_view> names;
+    for (const stored_object& item : all)
+        names.insert(item.name);
     for (const auto& [id, row] : this->table.rows()) {
-        const bool found = std::ranges::find(all, id.text, &stored_object::name) != all.end();
-        if (!found && !row.gone) this->missing.try_emplace(id, now);
+        if (!names.contains(id.text) && !row.gone) this->missing.try_emplace(id, now);
     }
-    this->take_part(all);
+    this->take_part(all, now);
 }
 
-void server_registry::take_part(std::span<const stored_object> part)
+void server_registry::take_part(std::span<const stored_object> part, instant now)
 {
     const bool few = part.size() <= this->table.rows().size() + logged_one_by_one;
     const logging told = few ? logging::each : logging::none;
     const auto changed = std::ranges::count_if(
-        part, [&](const stored_object& item) { return this->put(item, told); });
+        part, [&](const stored_object& item) { return this->put(item, told, now); });
     log_event(log_level::info, "servers_listed",
               {{"servers", part.size()},
                {"changed", changed},
@@ -32,19 +35,42 @@
 
 void server_registry::take_change(const stored_object& item, instant now)
 {
-    if (item.removed) {
+    if (!item.removed) {
+        this->put(item, logging::each, now);
+    } else if (!this->is_former(item)) {
         this->missing.try_emplace(server_id{item.name}, now);
-    } else {
-        this->put(item, logging::each);
     }
 }
 
-bool server_registry::put(const stored_object& item, logging told)
+/** Whether it was a former life of the server that went. */
+bool server_registry::is_former(const stored_object& removal) const
+{
+    try {
+        return this->table.is_former(this->dialect.decode_server(removal));
+    } catch (const error&) {
+        // Whoever wrote it: the entry is gone.
+        return false;
+    }
+}
+
+bool server_registry::put(const stored_object& item, logging told, instant now)
 {
     try {
         const server_record record = this->dialect.decode_server(item);
+        if (this->table.is_former(record)) return false;
         this->missing.erase(record.id);
-        if (!this->table.put(record)) return false;
+        const server_entry* known = this->table.find(record.id);
+        const bool again = known != nullptr && known->record.born_ms < record.born_ms;
+        const std::uint64_t before = again ? known->record.born_ms : 0;
+        if (!this->table.put(record, now)) return false;
+        if (again) {
+            log_event(log_level::info, "server_restarted",
+                      {{"server", record.id.text},
+                       {"born_ms", record.born_ms},
+                       {"before_ms", before},
+                       {"revision", item.revision}});
+            this->on_restarted.emit(record.id);
+        }
         if (told == logging::each) {
             log_event(log_level::info, "server_listed",
                       {{"server", record.id.text},
@@ -56,12 +82,37 @@
         if (record.draining) this->on_leaving.emit(record.id);
         return true;
     } catch (const error& fault) {
-        log_event(log_level::error, "server_unreadable",
-                  {{"server", item.name}, {"step", fault.step}, {"reason", fault.what()}});
+        this->note_unreadable(item, fault.what(), now);
         return false;
     }
 }
 
+/** The entry names no server. One that it named before is gone like one whose entry was removed. */
+void server_registry::note_unreadable(const stored_object& item, std::string_view reason,
+                                      instant now)
+{
+    const server_id id{item.name};
+    const server_entry* row = this->table.find(id);
+    if (row != nullptr && !row->gone) this->missing.try_emplace(id, now);
+    ++this->unreadable_total;
+    if (this->unreadable_now.count++ > 0) return;
+    this->unreadable_now.first = item.name.substr(0, reason_at_most);
+    this->unreadable_now.reason = reason.substr(0, reason_at_most);
+}
+
+void server_registry::log_unreadable(instant now)
+{
+    if (this->unreadable_now.count == 0) return;
+    if (now - this->unreadable_logged < unreadable_line_every) return;
+    this->unreadable_logged = now;
+    log_event(log_level::warn, "servers_unreadable",
+              {{"entries", this->unreadable_now.count},
+               {"first", this->unreadable_now.first},
+               {"reason", this->unreadable_now.reason},
+               {"total", this->unreadable_total}});
+    this->unreadable_now = {};
+}
+
 void server_registry::remove(const server_id& id)
 {
     if (!this->table.remove(id)) return;
@@ -96,6 +147,7 @@
         this->missing.erase(id);
         this->remove(id);
     }
+    this->log_unreadable(now);
 }
 
 } // namespace worksshift
--- a/src/server_registry.h
+++ b/src/server_registry.h
@@ -27,6 +27,11 @@
     /** Of a list with more news than this, one line is logged and not one a server: 3,000 lines at
      * a start would fill the log's bound, and what matters would be left out. */
     static constexpr std::size_t logged_one_by_one = 100;
+    /** Entries that cannot be read are logged in one line for all of this time, since another
+     * writer may leave thousands. */
+    static constexpr duration unreadable_line_every = seconds(1);
+    /** Of the reason why one cannot be read, as it may quote what stands there. */
+    static constexpr std::size_t reason_at_most = 120;
     /** From this share of a service's servers on, entries have lapsed, and do not leave. */
     static constexpr double lapsed_share = 0.5;
 
@@ -37,28 +42,45 @@
     /** All entries there are. */
     void take_list(std::span<const stored_object> all, instant now);
     /** Some of the entries there are. */
-    void take_part(std::span<const stored_object> part);
+    void take_part(std::span<const stored_object> part, instant now);
     void take_change(const stored_object& item, instant now);
-    /** Takes out what is gone for good. \p store_regained is when the store last came back. */
+    /** Takes out what is gone for good, and logs what could not be read. \p store_regained is when
+     * the store last came back. */
     void sweep(instant now, instant store_regained);
 
     /** Whether a whole list has come. */
     [[nodiscard]] bool known() const { return this->listed; }
+    /** How often an entry was met that no server can have written. */
+    [[nodiscard]] std::uint64_t unreadable() const { return this->unreadable_total; }
 
     /** The server takes no new work any more. */
     sigc::signal<void(const server_id&)> on_leaving;
+    /** The server started again under its id: no connection to it from before is of use. */
+    sigc::signal<void(const server_id&)> on_restarted;
 
 private:
     enum class logging : std::uint8_t { each, none };
+    /** Entries that name no server, of one list or since the last line about them. */
+    struct unreadable_entries {
+        std::size_t count = 0;
+        std::string first;  ///< name
+        std::string reason; ///< of the first
+    };
 
     /** Returns whether anything changed. */
-    bool put(const stored_object& item, logging told);
+    bool put(const stored_object& item, logging told, instant now);
+    void note_unreadable(const stored_object& item, std::string_view reason, instant now);
+    void log_unreadable(instant now);
+    [[nodiscard]] bool is_former(const stored_object& removal) const;
     void remove(const server_id& id);
     [[nodiscard]] bool lapsed_together(const service_id& service) const;
 
     server_table& table;
     const protocol& dialect;
     std::map<server_id, instant> missing; ///< not listed any more, and since when
+    unreadable_entries unreadable_now;
+    std::uint64_t unreadable_total = 0;
+    instant unreadable_logged{};
     bool listed = false;
 };
 
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -60,12 +60,24 @@
 
 } // namespace
 
-bool server_table::put(const server_record& record)
+bool server_table::is_former(const server_record& record) const
 {
+    const auto found = this->table.find(record.id);
+    return found != this->table.end() && record.born_ms < found->second.record.born_ms;
+}
+
+bool server_table::put(const server_record& record, instant now)
+{
+    if (this->is_former(record)) return false;
+    const auto known = this->table.find(record.id);
+    if (known != this->table.end() && record.born_ms > known->second.record.born_ms) {
+        this->retire(known->second);
+    }
     const auto [found, added] = this->table.try_emplace(record.id);
     server_entry& row = found->second;
     const bool changed = added || row.gone || row.record.draining != record.draining ||
                          row.record.service != record.service;
+    if (added) row.listed_at = now;
     if (added || row.record.service != record.service) {
         if (!added) std::erase(this->services[row.record.service].rows, &row);
         this->services[record.service].rows.push_back(&row);
@@ -77,6 +89,14 @@
     return changed;
 }
 
+void server_table::retire(server_entry& row)
+{
+    row.gone = true;
+    std::erase(this->services[row.record.service].rows, &row);
+    this->by_short_hash.erase(static_cast<std::uint32_t>(row.hash));
+    this->former.push_back(this->table.extract(row.record.id));
+}
+
 bool server_table::remove(const server_id& id)
 {
     server_entry* row = this->find(id);
@@ -103,6 +123,7 @@
     }
     std::erase_if(this->by_short_hash, [](const auto& entry) { return entry.second->over(); });
     std::erase_if(this->table, [](const auto& entry) { return entry.second.over(); });
+    std::erase_if(this->former, [](const auto& node) { return node.mapped().over(); });
 }
 
 service_load server_table::load_of(const service_id& service) const
@@ -146,7 +167,10 @@
 {
     const auto found = this->by_short_hash.find(item.server);
     if (found == this->by_short_hash.end()) return;
-    found->second->state(item.requests, heard_at - item.age * stated_age_unit);
+    const instant stated_at = heard_at - item.age * stated_age_unit;
+    // Before that it may have been the word of the server's former life.
+    if (stated_at < found->second->listed_at) return;
+    found->second->state(item.requests, stated_at);
 }
 
 std::vector<stated_load> server_table::take_news(instant now)
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -28,6 +28,7 @@
 struct server_entry {
     server_record record;
     std::uint64_t hash = 0;            ///< of its id, for ranking
+    instant listed_at{};               ///< when this life of the server was first listed
     std::uint32_t in_flight = 0;       ///< attempts of this VM
     std::uint32_t peers_in_flight = 0; ///< of the other VMs, as they last told
     /** Requests of all VMs by the server's own word, to this VM or a near one. */
@@ -139,8 +140,12 @@
     {
     }
 
-    /** Adds or updates. Returns whether anything changed. */
-    bool put(const server_record& record);
+    /** Adds or updates. A server that started again under its id is a new one: attempts at its
+     * former life stay with a row of their own until they end. What is told of a life before the
+     * one that is known changes nothing. Returns whether anything changed. */
+    bool put(const server_record& record, instant now = {});
+    /** Whether the record tells of a life of the server before the one that is known. */
+    [[nodiscard]] bool is_former(const server_record& record) const;
     /** The registry does not list the server any more. Returns whether it did before. */
     bool remove(const server_id& id);
     /** Another server answered at the address. */
@@ -191,7 +196,10 @@
     placed choose_plain(row_list& rows);
 
     data_centre_id here;
-    std::map<server_id, server_entry> table; ///< references to rows stay valid
+    using row_map = std::map<server_id, server_entry>;
+    row_map table; ///< references to rows stay valid
+    /** Rows of servers that started again, until what was sent to them before has ended. */
+    std::vector<row_map::node_type> former;
     /** The servers of one service and what they have in common. */
     struct service_state {
         row_list rows;
@@ -212,6 +220,9 @@
     void shuffle_first(std::vector<std::uint64_t>& weights, std::size_t count);
     void mark_slow(service_state& group, instant now) const;
 
+    /** Takes the row out of the table, and keeps it until it is idle. */
+    void retire(server_entry& row);
+
     std::unordered_map<service_id, service_state> services;
     std::unordered_map<std::uint32_t, server_entry*> by_short_hash;
     std::minstd_rand random;
--- a/test/error/servers_that_leave_or_lapse.cpp
+++ b/test/error/servers_that_leave_or_lapse.cpp
@@ -38,8 +38,8 @@
     {
         stored_object made;
         made.name = name;
-        made.document = R"({"service":"desk","address":"127.0.0.1:1","zone":"dc","slots":4,)"
-                        R"("state":")" +
+        made.document = R"({"service":"desk","address":"127.0.0.1:1","zone":"dc","version":"v1",)"
+                        R"("slots":4,"coldRemainingMs":0,"sequence":1,"state":")" +
                         state + R"("})";
         return made;
     }
--- /dev/null
+++ b/test/error/servers_that_start_again.cpp
@@ -0,0 +1,190 @@
+/** \file
+ * A server that starts again under its id is a new server: nothing that was believed of it before
+ * holds, and what an entry of its former life says changes nothing.
+ */
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "platform.h"
+#include "server_registry.h"
+#include "support/path_rig.h"
+#include "support/router_fleet.h"
+
+namespace {
+
+using namespace support;
+using namespace worksshift;
+using then = scripted_answer::then;
+
+/** An entry of the registry by a server that started at \p born, in Unix milliseconds. */
+std::string document(const link_address& address, std::uint64_t born, const std::string& state,
+                     const std::string& service = "llm")
+{
+    return R"({"service":")" + service + R"(","address":")" + to_string(address) +
+           R"(","zone":"dc","version":"v1","slots":4,"state":")" + state +
+           R"(","coldRemainingMs":0,"sequence":1,"born":)" + std::to_string(born) + "}";
+}
+
+stored_object entry(const std::string& name, std::uint64_t born, const std::string& state = "ready",
+                    const link_address& address = {"127.0.0.1", 1})
+{
+    stored_object made;
+    made.name = name;
+    made.document = document(address, born, state);
+    return made;
+}
+
+class servers_that_start_again : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(servers_that_start_again);
+    CPPUNIT_TEST(load_and_health_start_anew);
+    CPPUNIT_TEST(attempts_of_the_former_life_end_there);
+    CPPUNIT_TEST(loads_told_of_the_former_life_are_passed_over);
+    CPPUNIT_TEST(entry_of_the_former_life_changes_nothing);
+    CPPUNIT_TEST(removal_of_the_former_life_changes_nothing);
+    CPPUNIT_TEST(request_of_the_former_life_is_not_taken_for_running);
+    CPPUNIT_TEST(connections_of_the_former_life_are_closed);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::uint64_t first_born = 1'790'000'000'000;
+    static constexpr std::uint64_t second_born = first_born + 60'000;
+
+    protocol dialect = platform_protocol();
+    std::unique_ptr<server_table> table;
+    std::unique_ptr<server_registry> registry;
+    instant start = instant(seconds(1000));
+    const server_id id{"a"};
+
+    server_entry& row() { return *this->table->find(this->id); }
+
+    void start_again()
+    {
+        this->registry->take_change(entry("a", second_born), this->start + seconds(60));
+    }
+
+public:
+    void setUp() override
+    {
+        this->table = std::make_unique<server_table>(data_centre_id{"dc"});
+        this->registry = std::make_unique<server_registry>(*this->table, this->dialect);
+        const std::vector<stored_object> all{entry("a", first_born), entry("b", first_born)};
+        this->registry->take_list(all, this->start);
+    }
+
+    void load_and_health_start_anew()
+    {
+        const instant before = this->start + seconds(59);
+        this->row().in_flight = 3;
+        this->row().state(9, before);
+        this->row().health.on_unreachable(before + milliseconds(900));
+        this->row().first_delay.add(seconds(2), before);
+        this->row().replaced = true;
+        this->start_again();
+        const instant now = this->start + seconds(60);
+        this->table->expire_stated(now);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, this->row().load());
+        CPPUNIT_ASSERT(this->row().health.usable(now));
+        CPPUNIT_ASSERT(!this->row().first_delay.known());
+        CPPUNIT_ASSERT(this->row().takes_work());
+    }
+
+    /** What is released later was counted in the former life. */
+    void attempts_of_the_former_life_end_there()
+    {
+        server_entry& former = this->row();
+        former.in_flight = 1;
+        this->start_again();
+        this->table->sweep();
+        --former.in_flight;
+        this->table->sweep();
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, this->row().in_flight);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->table->rows().size());
+    }
+
+    void loads_told_of_the_former_life_are_passed_over()
+    {
+        this->start_again();
+        const auto hash = static_cast<std::uint32_t>(this->row().hash);
+        constexpr std::uint8_t age = 40; // 400 ms
+        this->table->take_stated({hash, 9, age}, this->start + seconds(60) + milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, this->row().load());
+        this->table->take_stated({hash, 2, 1}, this->start + seconds(60) + milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, this->row().load());
+    }
+
+    void entry_of_the_former_life_changes_nothing()
+    {
+        this->start_again();
+        this->registry->take_change(entry("a", first_born, "draining"), this->start + seconds(61));
+        CPPUNIT_ASSERT(this->row().takes_work());
+    }
+
+    void removal_of_the_former_life_changes_nothing()
+    {
+        this->start_again();
+        stored_object removal = entry("a", first_born);
+        removal.removed = true;
+        this->registry->take_change(removal, this->start + seconds(61));
+        this->registry->sweep(this->start + seconds(70), this->start);
+        CPPUNIT_ASSERT(this->table->find(this->id) != nullptr && this->row().takes_work());
+    }
+
+    /** The server answers others in its new life, which says nothing of a request that was lost
+     * with the former one. */
+    void request_of_the_former_life_is_not_taken_for_running()
+    {
+        path_rig rig;
+        rig.path->set_config(rig.dialect.decode_config(example_config(1)));
+        const auto waits = [](const std::string& request) {
+            return header_in(request, "x-request-id") == "waits";
+        };
+        const auto script = [&](const std::string& request) {
+            if (waits(request)) return scripted_answer{{}, then::stay_silent};
+            return scripted_answer{stream_head(request) + event_chunk(1, "x") + "0\r\n\r\n",
+                                   then::keep};
+        };
+        const std::vector<const scripted_server*> engines{&rig.add_server("a", "llm", script),
+                                                          &rig.add_server("b", "llm", script)};
+        const auto with_prompt = [](const std::string& target, const std::string& name) {
+            std::string text = request_text("POST", target, name, "x");
+            return text.insert(text.find("X-Api-Key"), "X-Prompt-Prefix: aa:100,bb:10\r\n");
+        };
+        const auto times_sent = [&] {
+            std::ptrdiff_t count = 0;
+            for (const scripted_server* engine : engines)
+                count += std::ranges::count_if(engine->requests, waits);
+            return count;
+        };
+        rig.add_caller().send(with_prompt("/stream/x", "waits"));
+        CPPUNIT_ASSERT(rig.run_until([&] { return times_sent() == 1; }));
+        const std::string asked = std::ranges::any_of(engines[0]->requests, waits) ? "a" : "b";
+        const link_address address = engines[asked == "a" ? 0 : 1]->address();
+        rig.table.put(rig.dialect.decode_server(entry(asked, second_born, "ready", address)));
+        const instant end = std::chrono::steady_clock::now() + shortest_silence + milliseconds(300);
+        for (unsigned next = 0; std::chrono::steady_clock::now() < end; ++next) {
+            rig.add_caller().send(with_prompt("/once/x", std::to_string(next)));
+            rig.run_for(milliseconds(40));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2}, times_sent());
+    }
+
+    static void connections_of_the_former_life_are_closed()
+    {
+        router_fleet fleet(1);
+        fleet.set_config(example_config(1));
+        scripted_server& server = fleet.add_server("a", "desk", [](const std::string& request) {
+            return scripted_answer{answer_text(200, request, "x"), then::keep};
+        });
+        fleet.store->put("servers", "a", document(server.address(), first_born, "ready", "desk"));
+        fleet.start_all();
+        CPPUNIT_ASSERT(fleet.all_ready());
+        CPPUNIT_ASSERT_EQUAL(200, status_in(fleet.ask(0, request_text("GET", "/safe/x", "r1"))));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.closed);
+        fleet.store->put("servers", "a", document(server.address(), second_born, "ready", "desk"));
+        CPPUNIT_ASSERT(fleet.run_until([&] { return server.closed == 1; }, seconds(2)));
+        CPPUNIT_ASSERT_EQUAL(200, status_in(fleet.ask(0, request_text("GET", "/safe/x", "r2"))));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.connections);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(servers_that_start_again);
+
+} // namespace
--- /dev/null
+++ b/test/fuzz/registry_pages_are_decoded.cpp
@@ -0,0 +1,128 @@
+/** \file
+ * Whatever stands in one entry of a page, the entries beside it are read, and decoding ends with a
+ * page or with a peer_error.
+ */
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include "errors.h"
+#include "platform.h"
+
+namespace {
+
+using namespace worksshift;
+
+const std::string sound = R"({"service":"desk","address":"127.0.0.1:1","zone":"dc","version":"v1",)"
+                          R"("slots":4,"state":"ready","coldRemainingMs":0,"sequence":1})";
+
+/** JSON values of any shape, and texts that look like them but are none. */
+rc::Gen<std::string> any_value(int depth)
+{
+    const auto text = rc::gen::map(
+        rc::gen::container<std::string>(rc::gen::inRange('\x01', '\x7f')), [](std::string raw) {
+            std::erase_if(raw, [](char each) { return each == '"' || each == '\\'; });
+            return "\"" + raw + "\"";
+        });
+    const auto bytes =
+        rc::gen::map(rc::gen::container<std::string>(rc::gen::inRange('\x80', '\xff')),
+                     [](const std::string& raw) { return "\"" + raw + "\""; });
+    const auto plain = rc::gen::element<std::string>(
+        "null", "true", "0", "-1", "1e999", "-0.0", "NaN", "Infinity", "18446744073709551616",
+        "1.5", R"("\u0000")", R"("\ud800")", R"("\x")", "nul", "+1", "0x1");
+    if (depth == 0) return rc::gen::oneOf(text, bytes, plain);
+    const auto inner = any_value(depth - 1);
+    const auto list = rc::gen::map(rc::gen::pair(inner, inner), [](const auto& pair) {
+        return "[" + pair.first + "," + pair.second + "]";
+    });
+    const auto object = rc::gen::map(rc::gen::pair(inner, inner), [](const auto& pair) {
+        return R"({"name":)" + pair.first + R"(,"slots":)" + pair.second + "}";
+    });
+    return rc::gen::oneOf(text, bytes, plain, list, object);
+}
+
+std::string item(const std::string& metadata, const std::string& document)
+{
+    return R"({"metadata":)" + metadata + R"(,"spec":)" + document + "}";
+}
+
+const std::string good_metadata = R"({"name":"a","revision":3})";
+
+/** A sound entry with the value of one field replaced. */
+std::string with_field(const std::string& field, const std::string& value)
+{
+    const std::size_t at = sound.find("\"" + field + "\":") + field.size() + 3;
+    const std::size_t end = sound.find_first_of(",}", at);
+    return sound.substr(0, at) + value + sound.substr(end);
+}
+
+class registry_pages_are_decoded : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(registry_pages_are_decoded);
+    CPPUNIT_TEST(any_entry_costs_itself_only);
+    CPPUNIT_TEST(any_field_is_read_or_refused);
+    CPPUNIT_TEST(any_bytes_end_in_a_page_or_an_error);
+    CPPUNIT_TEST_SUITE_END();
+
+    protocol dialect = platform_protocol();
+
+    /** Reads the object as a server; \throws only what a follower of the registry expects. */
+    void read(const stored_object& object) const
+    {
+        try {
+            const server_record record = this->dialect.decode_server(object);
+            RC_ASSERT(!record.service.empty() && record.slots > 0 && record.address.port > 0);
+        } catch (const peer_error&) {
+            // What cannot be read names no server.
+        }
+    }
+
+public:
+    void any_entry_costs_itself_only()
+    {
+        const bool passed = rc::check("any entry costs itself only", [this] {
+            const std::string other = item(*any_value(2), *any_value(2));
+            const std::string page = R"({"items":[)" + item(good_metadata, sound) + "," + other +
+                                     "," + item(good_metadata, sound) + R"(],"asOf":5})";
+            const object_page read = this->dialect.decode_page(page);
+            RC_ASSERT(read.objects.size() + read.unreadable == 3U);
+            RC_ASSERT(this->dialect.decode_server(read.objects.front()).slots == 4U);
+            RC_ASSERT(this->dialect.decode_server(read.objects.back()).slots == 4U);
+        });
+        CPPUNIT_ASSERT(passed);
+    }
+
+    void any_field_is_read_or_refused()
+    {
+        const bool passed = rc::check("any field is read or refused", [this] {
+            const auto field =
+                *rc::gen::element<std::string>("service", "address", "zone", "version", "slots",
+                                               "state", "coldRemainingMs", "sequence");
+            stored_object object;
+            object.name = "a";
+            object.document = with_field(field, *any_value(1));
+            this->read(object);
+        });
+        CPPUNIT_ASSERT(passed);
+    }
+
+    void any_bytes_end_in_a_page_or_an_error()
+    {
+        const bool passed = rc::check("any bytes end in a page or an error", [this] {
+            std::string page = R"({"events":[{"removed":false,"object":)" +
+                               item(good_metadata, sound) + R"(}],"asOf":5})";
+            const auto at = *rc::gen::inRange<std::size_t>(0, page.size());
+            page[at] = *rc::gen::arbitrary<char>();
+            if (*rc::gen::arbitrary<bool>()) page.resize(at);
+            try {
+                for (const stored_object& object : this->dialect.decode_page(page).objects)
+                    this->read(object);
+            } catch (const peer_error&) {
+                // The call counts as failed.
+            }
+        });
+        CPPUNIT_ASSERT(passed);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(registry_pages_are_decoded);
+
+} // namespace
--- a/test/support/router_fleet.cpp
+++ b/test/support/router_fleet.cpp
@@ -55,7 +55,8 @@
 {
     const auto found = std::ranges::find(this->listings, id, &listing::id);
     return R"({"service":")" + found->service + R"(","address":")" + to_string(found->address) +
-           R"(","zone":"dc","slots":8,"state":")" + state + R"("})";
+           R"(","zone":"dc","version":"v1","slots":8,"coldRemainingMs":0,"sequence":1,"state":")" +
+           state + R"("})";
 }
 
 scripted_server& router_fleet::add_server(const std::string& id, const std::string& service,
