Plain servers are drawn by how they answered, not by loads that are told a second late

Cause: all VMs took the server that looked least loaded by the same word some hundred ms to a second old, many times what a plain server takes to answer, and moved as a herd from one to the next.

Change: `plain_choice` draws a server by the answers that this VM and near ones had lately (told with digests, 7 bytes a server), servers within 1.5 times the best alike, near ones twice as often, and of two drawn takes the one with fewer own requests. A failure counts by its share, however soon it came.

--- /dev/null
+++ b/lab/plain_service.cpp
@@ -0,0 +1,331 @@
+#include "plain_service.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+
+#include "server_table.h"
+
+namespace lab {
+
+using namespace worksshift;
+
+namespace {
+
+const service_id service{"desk"};
+constexpr unsigned sends_at_most = 4;
+/** Of the work of one request: as the users state it for their plain services. */
+constexpr double work_spread = 0.5;
+constexpr double long_work_share = 0.01;
+constexpr double long_work_times = 5;
+/** One way, near and to another data centre. */
+constexpr double near_way_s = 0.0005;
+constexpr double distant_way_s = 0.001;
+
+server_id name_of(std::size_t server)
+{
+    return {"server-" + std::to_string(server)};
+}
+
+instant to_instant(double seconds_passed)
+{
+    return instant(
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds_passed + 1000)));
+}
+
+duration to_duration(double span_s)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(span_s));
+}
+
+struct request {
+    std::size_t vm = 0;
+    double arrived = 0;
+    double sent = 0;
+    std::size_t server = 0;
+    unsigned sends = 0;
+    std::vector<server_id> tried;
+};
+
+struct server {
+    std::uint32_t running = 0;
+    std::deque<std::size_t> waiting;
+};
+
+/** One VM: its view of the servers. */
+struct router {
+    router(std::size_t centre, unsigned seed)
+        : centre(centre), table({std::to_string(centre)}, seed)
+    {
+    }
+    std::size_t centre;
+    server_table table;
+};
+
+class emulation {
+public:
+    emulation(const plain_pattern& given, plain_chooser chooser, std::uint64_t seed);
+    plain_outcome run();
+
+private:
+    using action = std::function<void()>;
+    struct timed {
+        double at = 0;
+        std::uint64_t order = 0;
+        action act;
+        bool operator>(const timed& other) const
+        {
+            return std::pair(this->at, this->order) > std::pair(other.at, other.order);
+        }
+    };
+
+    void after(double span_s, action act);
+    void arrive();
+    void send(std::size_t id);
+    std::size_t choose(request& item);
+    void reach(std::size_t id);
+    void begin(std::size_t server, std::size_t id);
+    void leave(std::size_t server, std::size_t id);
+    void answer(std::size_t id, bool served);
+    void tell(std::size_t vm);
+    void sum_loads();
+    double work(std::size_t server);
+    [[nodiscard]] double way(const request& item) const;
+    [[nodiscard]] bool faulty(std::size_t server) const;
+
+    const plain_pattern& given;
+    plain_chooser chooser;
+    std::mt19937_64 random;
+    std::priority_queue<timed, std::vector<timed>, std::greater<>> events;
+    std::uint64_t order = 0;
+    double now = 0;
+    std::vector<std::unique_ptr<router>> routers;
+    std::vector<double> weights; ///< of the VMs among the requests
+    std::vector<server> servers;
+    std::deque<std::size_t> queue; ///< of all servers, for the ceiling
+    std::vector<request> requests;
+    std::vector<double> spans_ms;
+    plain_outcome result;
+};
+
+emulation::emulation(const plain_pattern& given, plain_chooser chooser, std::uint64_t seed)
+    : given(given), chooser(chooser), random(seed), servers(given.servers)
+{
+    std::uniform_real_distribution<double> part(0.5, 1.5);
+    for (std::size_t vm = 0; vm < given.vms; ++vm) {
+        const std::size_t centre = vm % given.data_centres;
+        this->routers.push_back(
+            std::make_unique<router>(centre, static_cast<unsigned>(this->random())));
+        this->weights.push_back(part(this->random) * (centre == 0 ? given.uneven : 1));
+        for (std::size_t i = 0; i < given.servers; ++i) {
+            server_record record;
+            record.id = name_of(i);
+            record.service = service;
+            record.data_centre.text = std::to_string(i % given.data_centres);
+            record.slots = given.slots;
+            this->routers.back()->table.put(record);
+        }
+    }
+}
+
+void emulation::after(double span_s, action act)
+{
+    this->events.push({this->now + span_s, this->order++, std::move(act)});
+}
+
+plain_outcome emulation::run()
+{
+    this->after(0, [this] { this->arrive(); });
+    this->after(0, [this] { this->sum_loads(); });
+    for (std::size_t vm = 0; vm < this->routers.size(); ++vm) {
+        std::uniform_real_distribution<double> phase(0, this->given.told_after_s);
+        this->after(phase(this->random), [this, vm] { this->tell(vm); });
+    }
+    while (!this->events.empty() && this->events.top().at <= this->given.seconds) {
+        const timed next = this->events.top();
+        this->events.pop();
+        this->now = next.at;
+        next.act();
+    }
+    this->result.asked = this->spans_ms.size() + this->result.unserved;
+    const auto worst =
+        this->spans_ms.begin() + static_cast<std::ptrdiff_t>(this->spans_ms.size() * 99 / 100);
+    std::ranges::nth_element(this->spans_ms, worst);
+    this->result.p99_ms = *worst;
+    return this->result;
+}
+
+void emulation::arrive()
+{
+    std::discrete_distribution<std::size_t> vms(this->weights.begin(), this->weights.end());
+    const double work_s = this->given.work_ms / 1000;
+    const double per_s =
+        this->given.used * static_cast<double>(this->given.servers) * this->given.slots / work_s;
+    request item;
+    item.vm = vms(this->random);
+    item.arrived = this->now;
+    this->requests.push_back(item);
+    this->send(this->requests.size() - 1);
+    this->after(std::exponential_distribution<double>(per_s)(this->random),
+                [this] { this->arrive(); });
+}
+
+std::size_t emulation::choose(request& item)
+{
+    if (this->chooser == plain_chooser::product) {
+        const placing wanted{service, false, 0, item.tried};
+        const placed where = this->routers[item.vm]->table.choose(wanted, to_instant(this->now));
+        const std::string& name = where.row->record.id.text;
+        ++where.row->in_flight;
+        return std::stoul(name.substr(name.find('-') + 1));
+    }
+    std::size_t chosen = 0;
+    do {
+        chosen =
+            std::uniform_int_distribution<std::size_t>(0, this->servers.size() - 1)(this->random);
+    } while (std::ranges::find(item.tried, name_of(chosen)) != item.tried.end());
+    return chosen;
+}
+
+double emulation::way(const request& item) const
+{
+    const bool near = item.server % this->given.data_centres == this->routers[item.vm]->centre;
+    return near ? near_way_s : distant_way_s;
+}
+
+bool emulation::faulty(std::size_t at) const
+{
+    return at == 0 && this->now >= this->given.seconds / 3;
+}
+
+double emulation::work(std::size_t at)
+{
+    std::lognormal_distribution<double> spread(-work_spread * work_spread / 2, work_spread);
+    double span_s = this->given.work_ms / 1000 * spread(this->random);
+    if (std::uniform_real_distribution<>()(this->random) < long_work_share) {
+        span_s *= long_work_times;
+    }
+    return this->faulty(at) ? span_s * this->given.slow_times : span_s;
+}
+
+void emulation::send(std::size_t id)
+{
+    request& item = this->requests[id];
+    if (item.sends >= std::min<std::size_t>(sends_at_most, this->servers.size())) {
+        ++this->result.unserved;
+        return;
+    }
+    item.server = this->choose(item);
+    item.sent = this->now;
+    ++item.sends;
+    item.tried.push_back(name_of(item.server));
+    this->after(this->way(item), [this, id] { this->reach(id); });
+}
+
+void emulation::reach(std::size_t id)
+{
+    const std::size_t at = this->requests[id].server;
+    if (this->chooser == plain_chooser::single_queue) {
+        const auto free = std::ranges::find_if(
+            this->servers, [this](const server& item) { return item.running < this->given.slots; });
+        if (free == this->servers.end()) {
+            this->queue.push_back(id);
+        } else {
+            this->begin(static_cast<std::size_t>(free - this->servers.begin()), id);
+        }
+        return;
+    }
+    server& item = this->servers[at];
+    const bool refuses = this->given.sheds_all && this->faulty(at);
+    if (!refuses && item.running < this->given.slots) {
+        this->begin(at, id);
+    } else if (!refuses && item.waiting.size() < this->given.queue) {
+        item.waiting.push_back(id);
+    } else {
+        ++this->result.shed;
+        this->after(this->way(this->requests[id]), [this, id] { this->answer(id, false); });
+    }
+}
+
+void emulation::begin(std::size_t at, std::size_t id)
+{
+    ++this->servers[at].running;
+    this->after(this->work(at), [this, at, id] { this->leave(at, id); });
+}
+
+void emulation::leave(std::size_t at, std::size_t id)
+{
+    server& item = this->servers[at];
+    --item.running;
+    this->after(this->way(this->requests[id]), [this, id] { this->answer(id, true); });
+    std::deque<std::size_t>& waiting =
+        this->chooser == plain_chooser::single_queue ? this->queue : item.waiting;
+    if (waiting.empty()) return;
+    const std::size_t next = waiting.front();
+    waiting.pop_front();
+    this->begin(at, next);
+}
+
+void emulation::answer(std::size_t id, bool served)
+{
+    request& item = this->requests[id];
+    if (this->chooser == plain_chooser::product) {
+        server_entry& row = *this->routers[item.vm]->table.find(name_of(item.server));
+        --row.in_flight;
+        server_table::on_answered(row, to_duration(this->now - item.sent), !served,
+                                  to_instant(this->now));
+    }
+    if (!served) {
+        this->send(id);
+        return;
+    }
+    const double span_ms = (this->now - item.arrived) * 1000;
+    this->spans_ms.push_back(span_ms);
+    if (span_ms > this->given.late_ms) ++this->result.late;
+}
+
+/** The VM's round: near VMs come to know how its attempts ended. */
+void emulation::tell(std::size_t vm)
+{
+    const std::vector<told_outcomes> news = this->routers[vm]->table.take_outcome_news();
+    this->after(this->given.told_after_s, [this, vm, news] {
+        for (std::size_t other = 0; other < this->routers.size(); ++other) {
+            const bool near = this->routers[other]->centre == this->routers[vm]->centre;
+            if (other == vm || !near) continue;
+            for (const told_outcomes& item : news)
+                this->routers[other]->table.take_outcomes(item, to_instant(this->now));
+        }
+    });
+    this->after(this->given.told_after_s, [this, vm] { this->tell(vm); });
+}
+
+/** Of all VMs' requests each learns sums, as late as the rest. */
+void emulation::sum_loads()
+{
+    std::vector<std::uint32_t> sums(this->servers.size());
+    for (const auto& item : this->routers) {
+        for (std::size_t i = 0; i < sums.size(); ++i)
+            sums[i] += item->table.find(name_of(i))->in_flight;
+    }
+    this->after(this->given.told_after_s, [this, sums] {
+        for (const auto& item : this->routers) {
+            for (std::size_t i = 0; i < sums.size(); ++i)
+                item->table.find(name_of(i))->peers_in_flight = sums[i];
+        }
+    });
+    constexpr double every_s = 0.1;
+    this->after(every_s, [this] { this->sum_loads(); });
+}
+
+} // namespace
+
+plain_outcome play(const plain_pattern& given, plain_chooser chooser, std::uint64_t seed)
+{
+    return emulation(given, chooser, seed).run();
+}
+
+} // namespace lab
--- a/src/fleet_digest.cpp
+++ b/src/fleet_digest.cpp
@@ -48,6 +48,12 @@
     archive(item.server, item.requests, item.age);
 }
 
+template <class Archive>
+void serialize(Archive& archive, told_outcomes& item)
+{
+    archive(item.server, item.answered, item.failed, item.mean);
+}
+
 template <class Archive>
 void serialize(Archive& archive, vm_rumour& item)
 {
@@ -76,6 +82,7 @@
             item.watches_store, item.leaving, item.joining, item.own_loads, item.centre_loads,
             item.distant_loads, item.requests_per_s);
     save_items(archive, item.stated_loads);
+    save_items(archive, item.outcomes);
     save_items(archive, item.vms);
 }
 
@@ -89,6 +96,7 @@
             item.leaving, item.joining, item.own_loads, item.centre_loads, item.distant_loads,
             item.requests_per_s);
     load_items(archive, item.stated_loads);
+    load_items(archive, item.outcomes);
     load_items(archive, item.vms);
 }
 
--- a/src/fleet_digest.h
+++ b/src/fleet_digest.h
@@ -49,6 +49,17 @@
 /** Statements in one digest at most: the newest. */
 constexpr std::size_t stated_loads_at_most = 24;
 
+/** How attempts of the sender at a plain server ended. */
+struct told_outcomes {
+    std::uint32_t server = 0; ///< low half of the hash of its id
+    std::uint8_t answered = 0;
+    std::uint8_t failed = 0; ///< without an answer of use
+    std::uint8_t mean = 0;   ///< time of an answered one, in units of `told_time_unit`
+};
+constexpr duration told_time_unit = milliseconds(4);
+/** Servers in one digest at most. A VM of a large fleet has one or two between its digests. */
+constexpr std::size_t told_outcomes_at_most = 12;
+
 constexpr duration store_back_unit = milliseconds(10);
 constexpr duration store_confirmed_unit = milliseconds(100);
 
@@ -61,7 +72,7 @@
 
 /** State of one VM, as it tells it itself. */
 struct fleet_digest {
-    std::uint8_t format = 4;
+    std::uint8_t format = 5;
     std::uint32_t incarnation = 0; ///< random for each start of the process
     std::uint32_t sequence = 0;
     std::uint32_t data_centre = 0;
@@ -81,6 +92,7 @@
     load_part centre_loads;  ///< requests of all VMs of the sender's data centre
     load_part distant_loads; ///< requests of the other data centres, as the sender was told
     std::vector<stated_load> stated_loads; ///< new since the sender's last digest
+    std::vector<told_outcomes> outcomes;   ///< likewise
     std::uint16_t requests_per_s = 0;      ///< that ask the sender for a model engine, in tenths
     std::vector<vm_rumour> vms;
 };
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -28,6 +28,11 @@
     return std::chrono::steady_clock::now();
 }
 
+duration as_duration(double seconds_given)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds_given));
+}
+
 std::int64_t in_ms(duration span)
 {
     return std::chrono::duration_cast<milliseconds>(span).count();
@@ -294,6 +299,7 @@
     live_request& item = *found;
     server_entry& row = *item.row;
     const instant time = now();
+    this->note_outcome(item, end, time);
     this->release(item);
     if (item.refused || end.result == send_result::not_sent) {
         if (end.result == send_result::not_sent) {
@@ -328,6 +334,24 @@
     this->finish_answer(item);
 }
 
+/** What the attempt says of a plain server. */
+void request_path::note_outcome(const live_request& item, const attempt_end& end, instant time)
+{
+    if (item.engine || item.gone || item.answer.status == misdirected) return;
+    const bool failed =
+        item.refused || end.result != send_result::answered || item.answer.status >= server_error;
+    server_table::on_answered(*item.row, time - item.sent, failed, time);
+}
+
+/** The server of the attempt under way sent nothing in time: the attempt is given up. */
+void request_path::note_silence(live_request& item, instant time)
+{
+    item.row->health.on_failure(time);
+    if (!item.engine) server_table::on_answered(*item.row, time - item.sent, true, time);
+    this->servers.cancel(item.attempt);
+    this->release(item);
+}
+
 void request_path::finish_answer(live_request& item)
 {
     // These statuses promise that nothing ran, and the server did not say so.
@@ -426,6 +450,7 @@
          {"told_load", item.told_load ? static_cast<int>(*item.told_load) : -1},
          {"loads_ms", in_ms(item.loads_age)},
          {"mean_load", item.where.mean_load},
+         {"expected_ms", in_ms(as_duration(item.where.expected_s))},
          {"sends", item.sends},
          {"runs", item.runs},
          {"events", item.events.events()},
@@ -478,9 +503,7 @@
         item.last_byte = time;
         return;
     }
-    item.row->health.on_failure(time);
-    this->servers.cancel(item.attempt);
-    this->release(item);
+    this->note_silence(item, time);
     this->log_attempt(item, "retried", "silence", std::to_string(in_ms(limit)) + " ms");
     this->dispatch(item);
 }
@@ -493,9 +516,7 @@
     }
     if (item.row != nullptr) {
         ++item.runs;
-        item.row->health.on_failure(now());
-        this->servers.cancel(item.attempt);
-        this->release(item);
+        this->note_silence(item, now());
     }
     this->log_attempt(item, "failed", "deadline", {});
     if (item.begun) {
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -74,6 +74,8 @@
     void take_head(std::uint64_t attempt, const http_head& head, const answer_facts& facts);
     void take_body(std::uint64_t attempt, std::string_view bytes);
     void take_end(const attempt_end& end);
+    void note_outcome(const live_request& item, const attempt_end& end, instant time);
+    void note_silence(live_request& item, instant time);
     void finish_answer(live_request& item);
     void take_refusal(live_request& item, const attempt_end& end);
     void retry_or_fail(live_request& item, bool may_have_run, const char* step,
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -137,6 +137,8 @@
         this->loads_changed = true;
         for (const stated_load& item : from.last.stated_loads)
             this->servers.take_stated(item, from.heard_at);
+        for (const told_outcomes& item : from.last.outcomes)
+            this->servers.take_outcomes(item, from.heard_at);
         this->configuration.take_digest(from);
     });
 }
@@ -206,6 +208,7 @@
     state.digest.requests_per_s = static_cast<std::uint16_t>(std::min(
         this->path.admissions().engine_requests_per_s(time) * demand_unit_per_s, largest_demand));
     state.digest.stated_loads = this->servers.take_news(time);
+    state.digest.outcomes = this->servers.take_outcome_news();
     this->registry.describe(state.digest, time);
     state.servers = this->servers.rows().size();
     for (const auto& [id, row] : this->servers.rows()) {
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -3,10 +3,12 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <limits>
 #include <numeric>
 #include <ranges>
 #include <tuple>
 
+#include "plain_choice.h"
 #include "rendezvous.h"
 
 namespace worksshift {
@@ -188,6 +190,44 @@
     return news;
 }
 
+void server_table::on_answered(server_entry& row, duration span, bool failed, instant now)
+{
+    row.outcomes.add(failed ? 0 : 1, failed ? 1 : 0, span, now);
+    if (failed) {
+        ++row.untold.failed;
+    } else {
+        ++row.untold.answered;
+        row.untold.time += span;
+    }
+}
+
+void server_table::take_outcomes(const told_outcomes& item, instant now)
+{
+    const auto found = this->by_short_hash.find(item.server);
+    if (found == this->by_short_hash.end()) return;
+    found->second->outcomes.add(item.answered, item.failed, item.mean * told_time_unit, now);
+}
+
+std::vector<told_outcomes> server_table::take_outcome_news()
+{
+    const auto byte = [](std::int64_t value) {
+        constexpr std::int64_t most = std::numeric_limits<std::uint8_t>::max();
+        return static_cast<std::uint8_t>(std::min(value, most));
+    };
+    std::vector<told_outcomes> news;
+    for (auto& [id, row] : this->table) {
+        const outcome_sum sum = std::exchange(row.untold, {});
+        if (sum.answered + sum.failed == 0) continue;
+        const duration mean = sum.time / std::max<std::uint32_t>(sum.answered, 1);
+        news.push_back({static_cast<std::uint32_t>(row.hash), byte(sum.answered), byte(sum.failed),
+                        byte(mean / told_time_unit)});
+    }
+    std::ranges::sort(news, std::greater{},
+                      [](const told_outcomes& item) { return item.answered + item.failed; });
+    news.resize(std::min(news.size(), told_outcomes_at_most));
+    return news;
+}
+
 void server_table::expire_stated(instant now)
 {
     for (auto& [id, row] : this->table)
@@ -258,7 +298,14 @@
 {
     row_list rows = this->candidates(wanted, now);
     if (rows.empty()) return {};
-    placed result = wanted.engine ? this->choose_engine(wanted, rows) : this->choose_plain(rows);
+    placed result;
+    if (wanted.engine) {
+        result = this->choose_engine(wanted, rows);
+    } else {
+        const plain_choice made = choose_plain(rows, this->here, now, this->random);
+        result.row = made.row;
+        result.expected_s = made.expected_s;
+    }
     result.candidates = rows.size();
     result.load = result.row->load();
     if (wanted.engine && wanted.affinity != 0) {
@@ -350,19 +397,6 @@
     return best;
 }
 
-placed server_table::choose_plain(row_list& rows)
-{
-    // Shuffled, so that VMs that see the same loads do not all choose the same server.
-    std::ranges::shuffle(rows, this->random);
-    const auto chosen = std::ranges::min_element(rows, {}, [this](const server_entry* row) {
-        const double busy = (row->load() + 1.0) / std::max<std::uint32_t>(row->record.slots, 1);
-        return busy + (row->record.data_centre == this->here ? 0 : distance_penalty);
-    });
-    placed result;
-    result.row = *chosen;
-    return result;
-}
-
 std::uint64_t affinity_of(std::span<const prompt_part> prompt)
 {
     if (prompt.empty()) return 0;
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -16,91 +16,22 @@
 #include <unordered_map>
 #include <vector>
 
-#include "first_event_delay.h"
 #include "fleet_digest.h"
 #include "placement_policy.h"
 #include "protocol.h"
-#include "server_health.h"
+#include "server_entry.h"
 #include "slot_forecast.h"
 
 namespace worksshift {
 
-struct server_entry {
-    server_record record;
-    std::uint64_t hash = 0;            ///< of its id, for ranking
-    instant listed_at{};               ///< when this life of the server was first listed
-    std::uint32_t in_flight = 0;       ///< attempts of this VM
-    std::uint32_t peers_in_flight = 0; ///< of the other VMs, as they last told
-    /** Requests of all VMs by the server's own word, to this VM or a near one. */
-    std::uint32_t stated = 0;
-    instant stated_at{};
-    std::uint32_t in_flight_when_stated = 0;
-    bool stated_is_fresh = false; ///< as of the last tick
-    bool stated_here = false;     ///< to this VM, and not yet told to others
-    server_health health;
-    bool gone = false;     ///< not in the registry any more; kept until idle
-    bool replaced = false; ///< another server answered at its address
-
-    instant heard_at{};    ///< a byte of an answer came
-    instant waited_from{}; ///< attempts are under way without a pause since
-
-    /** Recent time from a send to the first event, faded by the time since it was seen. */
-    first_event_delay first_delay;
-    bool slow = false; ///< against the other engines of its service, see `mark_slow`
-
-    /** Nothing came for so long although attempts are under way: the server may be out of reach,
-     * which its connections do not show. Requests go elsewhere until it sends something. Engines
-     * send every few tens of ms. With a third of the engines silent twice for 4 s, requests that
-     * were late in those seconds fell from 160 to 100, and none ran into its deadline (34 before).
-     */
-    static constexpr duration quiet_after = milliseconds(450);
-
-    [[nodiscard]] bool quiet(instant now) const
-    {
-        return this->in_flight > 0 &&
-               now - std::max(this->heard_at, this->waited_from) > quiet_after;
-    }
-    /** A server's own word counts all VMs' requests and is told by near VMs at once; sums of the
-     * other VMs' requests pass three of them and are a second late in a large fleet. */
-    [[nodiscard]] std::uint32_t load() const
-    {
-        if (!this->stated_is_fresh) return this->in_flight + this->peers_in_flight;
-        // Own requests that came or went since are known exactly.
-        const std::uint32_t total = this->stated + this->in_flight;
-        return std::max(this->in_flight, total - std::min(total, this->in_flight_when_stated));
-    }
-    /** The server had \p requests under way at the time \p at. An older word is passed over. */
-    void state(std::uint32_t requests, instant at)
-    {
-        if (at <= this->stated_at) return;
-        this->stated = requests;
-        this->stated_at = at;
-        this->in_flight_when_stated = this->in_flight;
-        this->stated_is_fresh = true;
-    }
-    [[nodiscard]] bool over() const { return this->gone && this->in_flight == 0; }
-    [[nodiscard]] bool takes_work() const
-    {
-        return !this->gone && !this->replaced && !this->record.draining;
-    }
-};
-
 /** A server takes a request if its load stays below this multiple of the mean of its service, plus
  * the spare below. The users' bound is twice the mean and three; the distance to it covers what the
  * VMs do not know of each other yet. From 1.35 and 2 to these values the shared tokens that were
  * read again on a calm day fell from 1.30 to 0.85 million, with first tokens as early as before. */
 constexpr double load_bound_multiple = 1.7;
 constexpr double load_bound_spare = 2.5;
-/** A stated load is used for so long. With 1 s, engines counted as idle between two statements, and
- * prompts were copied to them (14 s of a wave before 112 engines: 1,684 GB, and 892 GB with 3 s).
- */
-constexpr duration stated_load_for = milliseconds(3000);
 /** From this share of its bound on a server is busy. */
 constexpr double busy_share = 0.7;
-/** A plain server in another data centre counts as this much of its slots busier than it is: calls
- * stay near unless the near ones are a quarter busier. */
-constexpr double distance_penalty = 0.25;
-
 struct placing {
     service_id service;
     bool engine = false;
@@ -116,8 +47,9 @@
     std::size_t candidates = 0;
     std::uint32_t load = 0; ///< of the chosen one, before this request
     double mean_load = 0;
-    duration wait{};      ///< for a slot of the chosen one, as forecast
-    bool crowded = false; ///< no engine has a slot for the request in time
+    duration wait{};       ///< for a slot of the chosen one, as forecast
+    bool crowded = false;  ///< no engine has a slot for the request in time
+    double expected_s = 0; ///< until an answer of use, for plain servers
     /** Likely holds the shared part of the prompt when the chosen one does not; nullptr: none. */
     const server_entry* cached_at = nullptr;
 };
@@ -173,6 +105,12 @@
     void take_stated(const stated_load& item, instant heard_at);
     /** The newest loads that servers stated to this VM since the last call. */
     std::vector<stated_load> take_news(instant now);
+    /** An attempt at a plain server ended. \p failed: it got no answer of use. */
+    static void on_answered(server_entry& row, duration span, bool failed, instant now);
+    /** Another VM tells of its attempts at a plain server. */
+    void take_outcomes(const told_outcomes& item, instant now);
+    /** This VM's attempts at plain servers since the last call, those at most servers first. */
+    std::vector<told_outcomes> take_outcome_news();
     /** Stated loads that are too old count no more. */
     void expire_stated(instant now);
     /** Compares the engines' recent delays; once a tick. */
@@ -193,7 +131,6 @@
     placed choose_engine(const placing& wanted, const row_list& rows);
     [[nodiscard]] const server_entry* find_cached(const placing& wanted, const server_entry& chosen,
                                                   instant now) const;
-    placed choose_plain(row_list& rows);
 
     data_centre_id here;
     using row_map = std::map<server_id, server_entry>;
--- /dev/null
+++ b/test/correctness/plain_services_at_size.cpp
@@ -0,0 +1,131 @@
+/** \file
+ * A plain service of few servers before fleets of 8 to 480 VMs. Each VM asks one of its servers
+ * once in seconds, hears of the others' requests a second late, and together they must neither move
+ * as a herd nor stay with a server that is slow or full.
+ *
+ * The figures are those of the users' ticket service: six servers of six slots, a queue of 24
+ * before a server sheds, 30 ms of work, answers of use within 150 ms, six tenths of the slots' time
+ * in use; loads are told as late as `measure fleet` shows for each size.
+ */
+#include <array>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "plain_service.h"
+
+namespace {
+
+using namespace lab;
+
+plain_pattern fleet_of(std::size_t vms)
+{
+    plain_pattern made;
+    made.vms = vms;
+    made.data_centres = vms <= 8 ? 4 : 6;
+    made.servers = vms <= 8 ? 4 : 6;
+    made.told_after_s = vms <= 8 ? 0.15 : vms <= 87 ? 0.7 : vms <= 295 ? 1.2 : 1.5;
+    return made;
+}
+
+constexpr std::array<std::size_t, 4> sizes{8, 87, 295, 480};
+
+class plain_services_at_size : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(plain_services_at_size);
+    CPPUNIT_TEST(usual_load);
+    CPPUNIT_TEST(high_load);
+    CPPUNIT_TEST(one_data_centre_asks_more);
+    CPPUNIT_TEST(one_server_turns_slow);
+    CPPUNIT_TEST(one_server_sheds_all);
+    CPPUNIT_TEST(more_is_asked_than_can_be_served);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::string seen(const plain_pattern& given, const plain_outcome& result)
+    {
+        return std::to_string(given.vms) + " VMs: shed " +
+               std::to_string(result.share(result.shed)) + " a request, late " +
+               std::to_string(result.share(result.late)) + ", unserved " +
+               std::to_string(result.share(result.unserved)) + ", p99 " +
+               std::to_string(result.p99_ms) + " ms";
+    }
+
+    /** Nothing is shed, and the slowest of a hundred answers comes little later than it would out
+     * of one queue for all slots. */
+    static void little_worse_than_one_queue(const plain_pattern& given, double times)
+    {
+        const plain_outcome result = play(given, plain_chooser::product, 1);
+        const plain_outcome least = play(given, plain_chooser::single_queue, 1);
+        const std::string text = seen(given, result) + "; " + seen(given, least);
+        CPPUNIT_ASSERT_MESSAGE(text, result.share(result.shed) <= 0.002);
+        CPPUNIT_ASSERT_MESSAGE(text, result.p99_ms <= times * least.p99_ms);
+        CPPUNIT_ASSERT_MESSAGE(text, result.share(result.late) <= 0.012);
+    }
+
+public:
+    static void usual_load()
+    {
+        for (const std::size_t vms : sizes)
+            little_worse_than_one_queue(fleet_of(vms), 1.25);
+    }
+
+    static void high_load()
+    {
+        for (const std::size_t vms : sizes) {
+            plain_pattern given = fleet_of(vms);
+            given.used = 0.8;
+            little_worse_than_one_queue(given, 1.6);
+        }
+    }
+
+    static void one_data_centre_asks_more()
+    {
+        for (const std::size_t vms : sizes) {
+            plain_pattern given = fleet_of(vms);
+            given.uneven = 3;
+            little_worse_than_one_queue(given, 1.35);
+        }
+    }
+
+    static void one_server_turns_slow()
+    {
+        for (const std::size_t vms : sizes) {
+            plain_pattern given = fleet_of(vms);
+            given.slow_times = 4;
+            const plain_outcome result = play(given, plain_chooser::product, 1);
+            const plain_outcome uniform = play(given, plain_chooser::uniform, 1);
+            const std::string text = seen(given, result) + "; " + seen(given, uniform);
+            CPPUNIT_ASSERT_MESSAGE(text, result.share(result.late) <= 0.04);
+            CPPUNIT_ASSERT_MESSAGE(text, result.late * 2 <= uniform.late);
+        }
+    }
+
+    static void one_server_sheds_all()
+    {
+        for (const std::size_t vms : sizes) {
+            plain_pattern given = fleet_of(vms);
+            given.sheds_all = true;
+            const plain_outcome result = play(given, plain_chooser::product, 1);
+            const std::string text = seen(given, result);
+            CPPUNIT_ASSERT_MESSAGE(text, result.unserved == 0);
+            CPPUNIT_ASSERT_MESSAGE(text, result.share(result.shed) <= 0.06);
+            CPPUNIT_ASSERT_MESSAGE(text, result.share(result.late) <= 0.012);
+        }
+    }
+
+    /** What is beyond the servers is shed by them; the herd made it worse. */
+    static void more_is_asked_than_can_be_served()
+    {
+        for (const std::size_t vms : sizes) {
+            plain_pattern given = fleet_of(vms);
+            given.used = 1.2;
+            const plain_outcome result = play(given, plain_chooser::product, 1);
+            const plain_outcome uniform = play(given, plain_chooser::uniform, 1);
+            const std::string text = seen(given, result) + "; " + seen(given, uniform);
+            CPPUNIT_ASSERT_MESSAGE(text, result.share(result.unserved) <=
+                                             uniform.share(uniform.unserved) + 0.01);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(plain_services_at_size);
+
+} // namespace
