Engines that fail are found out by the VMs of a data centre together, and tried by one of them

Cause: a VM of 65 sees an engine about once in ten seconds, and concludes from 2.5 outcomes of its own within 3 s, so nothing was learnt while 22 of 112 engines failed six requests in ten; they looked idle and got more. Change: failures at engines are told in digests, successes only of engines that failed lately. An engine over 30 in 100, and over 1.5 times the usual of its service, is left alone; one VM of each data centre, by rank, tries it every two seconds with a request that may be repeated, if it can.

--- a/src/placement_policy.h
+++ b/src/placement_policy.h
@@ -40,6 +40,9 @@
     /** A request that waits at a server which answers others is sent elsewhere only after this
      * multiple of the time that a silent server is given. */
     double patience_while_heard = 4;
+    /** From this share of recent failures on, as near VMs tell them, an engine is left alone but
+     * for a trial now and then; 0 leaves none alone. */
+    double failing_share = 0.3;
     /** Requests in any second that may be sent to one cold server, as a share of those that it
      * bears, and VMs that may send them; 0: all VMs may, each its even share. A third leaves room
      * for VMs that disagree on who lives. */
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -156,6 +156,7 @@
 void request_path::dispatch(live_request& item)
 {
     placing wanted{item.service, item.engine, item.affinity, item.tried, item.priority};
+    wanted.repeatable = item.way->repeatable() && item.runs + 1 < item.way->attempts;
     wanted.allowed_regions = {item.way->allowed_regions, item.account_regions};
     const verdict decided = this->admitting.decide(wanted, item.runs == 0 && !item.begun, now());
     std::visit(visitor{[&](const send_to& to) { this->send(item, to.where); },
@@ -204,6 +205,7 @@
     if (row.in_flight++ == 0) row.waited_from = time;
     row.health.on_sent(time);
     row.cold.on_sent(time);
+    row.trial.on_sent(time);
     forward_facts facts;
     facts.expected_server = row.record.id.text;
     facts.account = item.account.text;
@@ -343,10 +345,12 @@
     this->finish_answer(item);
 }
 
-/** What the attempt says of a plain server. */
+/** What the attempt says of its server. */
 void request_path::note_outcome(const live_request& item, const attempt_end& end, instant time)
 {
-    if (item.engine || item.gone || item.answer.status == misdirected) return;
+    if (item.gone || item.answer.status == misdirected) return;
+    // An engine that turns a request away is full, which its load tells.
+    if (item.engine && (item.refused || end.result == send_result::not_sent)) return;
     const bool failed =
         item.refused || end.result != send_result::answered || item.answer.status >= server_error;
     server_table::on_answered(*item.row, time - item.sent, failed, time);
@@ -356,7 +360,7 @@
 void request_path::note_silence(live_request& item, instant time)
 {
     item.row->health.on_failure(time);
-    if (!item.engine) server_table::on_answered(*item.row, time - item.sent, true, time);
+    server_table::on_answered(*item.row, time - item.sent, true, time);
     this->servers.cancel(item.attempt);
     this->release(item);
 }
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -28,7 +28,7 @@
  * It is asked for at the same moment; a store that answers the one and not the other must not keep
  * the VM from serving. */
 constexpr duration evacuations_awaited_for = milliseconds(500);
-constexpr duration cold_shared_every = milliseconds(100);
+constexpr duration divided_every = milliseconds(100);
 /** Digests tell rates in tenths of a request per second, in two bytes. */
 constexpr double demand_unit_per_s = 10;
 constexpr double largest_demand = 65535;
@@ -127,7 +127,7 @@
     this->servers.mark_slow(time);
     this->servers.sum_loads(time);
     this->take_peer_loads(time);
-    this->share_cold_servers(time);
+    this->divide_work(time);
     this->gossip.tick(time, [this, time] { return this->describe_self(time); });
     this->check_settings_file(time);
     if (this->stopping) this->continue_stop(time);
@@ -208,17 +208,18 @@
         row.peers_in_flight = load_at(others, short_hash(row));
 }
 
-/** Which VMs send to a server that is cold. Of those that went away lately nothing is sent, as
- * other VMs may still count on them; what they would have sent is a few requests. */
-void router::share_cold_servers(instant time)
+/** Which VMs send to a server that is cold, and which try one that fails. Of those that went away
+ * lately nothing is sent, as other VMs may still count on them; what they would have sent is a few
+ * requests. */
+void router::divide_work(instant time)
 {
-    if (time - this->cold_shared_at < cold_shared_every) return;
-    this->cold_shared_at = time;
-    if (this->servers.cold_servers(time) == 0) return;
+    if (time - this->divided_at < divided_every) return;
+    this->divided_at = time;
     fleet_members members = this->gossip.fleet().members(time);
     for (const auto& [place, region] : this->options.regions)
         members.add(static_cast<std::uint32_t>(place.hash()));
     this->servers.share_cold(members, time);
+    this->servers.mark_failing(members, time);
 }
 
 /** Requests of the fleet for each of this VM's, as far as near VMs tell; the data centres that are
--- a/src/router.h
+++ b/src/router.h
@@ -44,7 +44,7 @@
     void start_serving();
     void follow_store(instant now);
     void take_peer_loads(instant now);
-    void share_cold_servers(instant now);
+    void divide_work(instant now);
     double demand_multiple(std::size_t alive, instant now);
     own_state describe_self(instant now);
     void serve_peers();
@@ -83,7 +83,7 @@
 
     bool loads_changed = false; ///< a digest came since the loads were added up
     instant summed_at{};
-    instant cold_shared_at{};
+    instant divided_at{};
     instant routable_since{};  ///< configuration and servers are known since
     std::string settings_text; ///< of the file, as last read
     instant settings_read{};
--- a/src/router_settings.cpp
+++ b/src/router_settings.cpp
@@ -43,6 +43,9 @@
         "cold-senders", &placement_policy::cold_senders, 1,
         "VMs that may send to a cold server, as a share of the requests that it bears "
         "in a second, 0 to 1; 0: all, evenly"},
+    placement_setting{
+        "failing-share", &placement_policy::failing_share, 1,
+        "share of recent failures from which an engine is left alone, 0 to 1; 0: none"},
     placement_setting{"load-spread", &placement_policy::spread_of_loads, 1000,
                       "requests by which the load of a full engine is drawn apart, 0 to 1000"},
 };
--- a/src/server_entry.h
+++ b/src/server_entry.h
@@ -15,7 +15,7 @@
  * prompts were copied to them (14 s of a wave before 112 engines: 1,684 GB, and 892 GB with 3 s).
  */
 constexpr duration stated_load_for = milliseconds(3000);
-/** How attempts at one plain server ended. */
+/** How attempts at one server ended. */
 struct outcome_sum {
     std::uint32_t answered = 0;
     std::uint32_t failed = 0;
@@ -46,10 +46,12 @@
 
     /** Recent time from a send to the first event, faded by the time since it was seen. */
     first_event_delay first_delay;
-    /** Of plain servers: how attempts of this VM and of near ones ended. */
+    /** How attempts of this VM and of near ones ended. */
     recent_outcomes outcomes;
-    outcome_sum untold; ///< of this VM's, not yet told to others
-    bool slow = false;  ///< against the other engines of its service, see `mark_slow`
+    outcome_sum untold;   ///< of this VM's, not yet told to others
+    bool failing = false; ///< against the other engines of its service, see `mark_failing`
+    cold_gate trial;      ///< while it is failing: when this VM may try it
+    bool slow = false;    ///< against the other engines of its service, see `mark_slow`
 
     /** Nothing came for so long although attempts are under way: the server may be out of reach,
      * which its connections do not show. Requests go elsewhere until it sends something. Engines
@@ -81,6 +83,11 @@
         this->in_flight_when_stated = this->in_flight;
         this->stated_is_fresh = true;
     }
+    /** Left alone, as it fails, unless it is for this VM to try it. */
+    [[nodiscard]] bool avoided(instant now) const
+    {
+        return this->failing && !this->trial.open(now);
+    }
     [[nodiscard]] bool over() const { return this->gone && this->in_flight == 0; }
     [[nodiscard]] bool takes_work() const
     {
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -34,6 +34,20 @@
     return std::chrono::duration<double>(span).count();
 }
 
+/** An engine's failure is told until its weight has faded to this. */
+constexpr double least_failed_to_tell = 0.1;
+/** Nothing is concluded from fewer failures of an engine, as of their weight. */
+constexpr double least_failed = 1.5;
+/** A failing engine fails this many times as often as the engines of its service together. */
+constexpr double failing_of_usual = 1.5;
+/** In each data centre a failing engine is tried with one request in two seconds. */
+const cold_bound trial_bound(0.5, {1, 1});
+
+duration fade_of(const service_traits& traits)
+{
+    return traits.engine ? recent_outcomes::engine_fade : recent_outcomes::plain_fade;
+}
+
 /** By how much the load of an engine has changed since it was stated, as a standard deviation. */
 double unseen(const service_load& load)
 {
@@ -190,6 +204,7 @@
     const bool restarted = added && known_before;
     row.record = record;
     row.hash = record.id.hash();
+    row.outcomes.set_fade(fade_of(this->services[record.service].traits));
     row.evacuated = this->evacuated.contains(short_hash(record.data_centre));
     const auto region = this->regions.find(record.data_centre);
     if (region != this->regions.end()) row.region = region->second;
@@ -249,6 +264,7 @@
         group.sum.span_s = as_seconds(group.forecast.span());
         for (const server_entry* row : group.rows) {
             if (!row->takes_work() || !row->health.usable(now) || row->quiet(now)) continue;
+            if (row->failing) continue;
             if (group.traits.cold_requests_per_s && row->cold.cold(now)) continue;
             ++group.sum.engines;
             group.sum.slots += row->record.slots;
@@ -327,16 +343,81 @@
     for (auto& [id, row] : this->table) {
         const outcome_sum sum = std::exchange(row.untold, {});
         if (sum.answered + sum.failed == 0) continue;
+        if (this->is_engine(row) && row.outcomes.failed() < least_failed_to_tell) continue;
         const duration mean = sum.time / std::max<std::uint32_t>(sum.answered, 1);
         news.push_back({static_cast<std::uint32_t>(row.hash), byte(sum.answered), byte(sum.failed),
                         byte(mean / told_time_unit)});
     }
-    std::ranges::sort(news, std::greater{},
-                      [](const told_outcomes& item) { return item.answered + item.failed; });
+    std::ranges::sort(news, std::greater{}, [](const told_outcomes& item) {
+        return std::tuple(item.failed, item.answered);
+    });
     news.resize(std::min(news.size(), told_outcomes_at_most));
     return news;
 }
 
+bool server_table::is_engine(const server_entry& row) const
+{
+    const auto found = this->services.find(row.record.service);
+    return found != this->services.end() && found->second.traits.engine;
+}
+
+void server_table::set_traits(const service_id& service, const service_traits& traits)
+{
+    service_state& group = this->services[service];
+    group.traits = traits;
+    for (server_entry* row : group.rows)
+        row->outcomes.set_fade(fade_of(traits));
+}
+
+void server_table::mark_failing(const fleet_members& members, instant now)
+{
+    for (auto& [service, group] : this->services) {
+        if (group.traits.engine) this->mark_failing(group, members, now);
+    }
+}
+
+void server_table::mark_failing(service_state& group, const fleet_members& members, instant now)
+{
+    double failed = 0;
+    double tries = 0;
+    for (server_entry* row : group.rows) {
+        row->outcomes.fade(now);
+        failed += row->outcomes.failed();
+        tries += row->outcomes.tries();
+    }
+    if (failed <= 0 || this->policy.failing_share <= 0) {
+        for (server_entry* row : group.rows)
+            row->failing = false;
+        return;
+    }
+    // A fault of the callers, or of a model, is no reason to leave single engines alone.
+    const double usual = failed / (tries + 1);
+    const double limit = std::max(this->policy.failing_share, failing_of_usual * usual);
+    fleet_members place = members;
+    place.data_centres = {members.data_centre};
+    for (server_entry* row : group.rows) {
+        const double share = row->outcomes.failed() / (row->outcomes.tries() + 1);
+        if (!row->failing && share > limit && row->outcomes.failed() >= least_failed) {
+            this->set_failing(*row, true, now);
+        } else if (row->failing && share < limit / 2) {
+            this->set_failing(*row, false, now);
+        }
+        if (!row->failing) continue;
+        row->trial.extend(now + seconds(1));
+        row->trial.set_share(share_of_cold(trial_bound, row->hash, place, 1), now, this->random);
+    }
+}
+
+void server_table::set_failing(server_entry& row, bool failing, instant now)
+{
+    row.failing = failing;
+    if (failing) row.trial.on_sent(now);
+    log_event(log_level::info, failing ? "server_failing" : "server_recovered",
+              {{"server", row.record.id.text},
+               {"failed", row.outcomes.failed()},
+               {"tries", row.outcomes.tries()}});
+}
+
 void server_table::expire_stated(instant now)
 {
     for (auto& [id, row] : this->table)
@@ -396,7 +477,7 @@
                          [&wanted](const server_entry* row) { return may_serve(*row, wanted); });
     row_list healthy;
     std::ranges::copy_if(open, std::back_inserter(healthy), [now](const server_entry* row) {
-        return row->health.usable(now) && !row->quiet(now);
+        return row->health.usable(now) && !row->quiet(now) && !row->avoided(now);
     });
     // When most seem to fail, the fault is elsewhere, and leaving them alone would serve nobody.
     if (healthy.size() * 2 >= open.size() && !healthy.empty()) open = std::move(healthy);
@@ -471,7 +552,8 @@
         const server_entry& row = *rows[at];
         const bool open =
             row.load() + 1 <= bound && this->has_slot(group, row, weights[at] >= near, spread);
-        return std::tuple(open, open && !row.slow, weights[at]);
+        const bool to_try = open && row.failing && wanted.repeatable;
+        return std::tuple(open, to_try, open && !row.slow, weights[at]);
     };
     const auto all = std::views::iota(std::size_t{0}, rows.size());
     const std::size_t best = std::ranges::max(all, {}, grade);
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -41,6 +41,7 @@
     std::span<const server_id> tried;
     unsigned priority = 0;   ///< 0 is the most urgent
     std::size_t engines = 1; ///< that the prompt is spread over, the first in rank
+    bool repeatable = false; ///< it may be sent to another server when the first one fails
     /** Where the request may be served: one list of the route and one of the client account, each
      * empty for anywhere. Both bind. */
     std::array<std::span<const region_id>, 2> allowed_regions{};
@@ -93,10 +94,11 @@
     void set_evacuated(std::set<std::uint32_t> places, instant now);
     /** Regions of the data centres; of others it is not known. */
     void set_regions(std::map<data_centre_id, region_id> known);
-    void set_traits(const service_id& service, const service_traits& traits)
-    {
-        this->services[service].traits = traits;
-    }
+    void set_traits(const service_id& service, const service_traits& traits);
+    /** Compares how often the engines of a service failed lately; once a tick. One that fails much
+     * more often than the others is left alone by all VMs but one of each data centre, which tries
+     * it with a request now and then, as the others hear how that ended. */
+    void mark_failing(const fleet_members& members, instant now);
     /** Works out what this VM may send to each cold server; once a tick. */
     void share_cold(const fleet_members& members, instant now);
     [[nodiscard]] std::size_t cold_servers(instant now) const;
@@ -126,11 +128,12 @@
     void take_stated(const stated_load& item, instant heard_at);
     /** The newest loads that servers stated to this VM since the last call. */
     std::vector<stated_load> take_news(instant now);
-    /** An attempt at a plain server ended. \p failed: it got no answer of use. */
+    /** An attempt at a server ended. \p failed: it got no answer of use. */
     static void on_answered(server_entry& row, duration span, bool failed, instant now);
-    /** Another VM tells of its attempts at a plain server. */
+    /** Another VM tells of its attempts at a server. */
     void take_outcomes(const told_outcomes& item, instant now);
-    /** This VM's attempts at plain servers since the last call, those at most servers first. */
+    /** This VM's attempts at servers since the last call, the failed ones first. Of engines that
+     * have not failed lately nothing is told, so that they cost no bytes. */
     std::vector<told_outcomes> take_outcome_news();
     /** Stated loads that are too old count no more. */
     void expire_stated(instant now);
@@ -188,10 +191,13 @@
 
     [[nodiscard]] bool has_slot(const service_state& group, const server_entry& row, bool near,
                                 double spread) const;
+    [[nodiscard]] bool is_engine(const server_entry& row) const;
     [[nodiscard]] double load_bound_of(const service_state& group, double mean) const;
     [[nodiscard]] duration wait_limit(const service_state& group) const;
     void shuffle_first(std::vector<std::uint64_t>& weights, std::size_t count);
     void mark_slow(service_state& group, instant now) const;
+    void mark_failing(service_state& group, const fleet_members& members, instant now);
+    void set_failing(server_entry& row, bool failing, instant now);
 
     /** Takes the row out of the table, and keeps it until it is idle. */
     void retire(server_entry& row);
--- /dev/null
+++ b/test/correctness/failing_engines_are_left.cpp
@@ -0,0 +1,247 @@
+/** \file
+ * Engines that fail a part of their requests are found out by the VMs of a data centre together,
+ * left alone but for a trial now and then, and taken back when they are sound.
+ *
+ * The pattern: a fifth of 112 engines fails six requests in ten at once, beside a wave of short
+ * requests, while one VM asks one engine every few seconds. The figures are those of the users'
+ * fleet: 65 VMs in four data centres that tell each other twice a second; 1,800 requests a second;
+ * answers take 300 ms, failures nothing; a failing engine looks idle.
+ */
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "server_table.h"
+
+namespace {
+
+using namespace worksshift;
+
+const service_id llm{"llm"};
+constexpr duration step = milliseconds(25);
+constexpr duration answer_takes = milliseconds(300);
+constexpr duration told_every = milliseconds(500);
+constexpr duration marked_every = milliseconds(100);
+
+/** The VMs of one data centre; the others do the same. */
+class data_centre_of_vms {
+public:
+    data_centre_of_vms(std::size_t vms, double requests_per_s, std::size_t engines,
+                       double failing_share)
+        : requests_per_step(requests_per_s * std::chrono::duration<double>(step).count())
+    {
+        for (std::size_t vm = 0; vm < vms; ++vm) {
+            auto table =
+                std::make_unique<server_table>(data_centre_id{"dc"}, static_cast<unsigned>(vm + 1));
+            table->policy.failing_share = failing_share;
+            table->set_traits(llm, {true, {}, {}});
+            for (std::size_t engine = 0; engine < engines; ++engine)
+                table->put(record(engine), this->now);
+            this->tables.push_back(std::move(table));
+        }
+        for (std::uint32_t vm = 1; vm <= vms; ++vm)
+            this->members.near.push_back(vm);
+        this->members.data_centre = 1;
+        this->members.data_centres = {1};
+        this->members.complete = true;
+    }
+
+    /** Returns how many requests failed. */
+    std::size_t run(duration span)
+    {
+        const std::size_t before = this->failed;
+        for (const instant end = this->now + span; this->now < end;) {
+            this->now += step;
+            this->finish();
+            this->exchange();
+            const auto count = std::poisson_distribution<>(this->requests_per_step)(this->random);
+            for (int i = 0; i < count; ++i)
+                this->send(this->random() % this->tables.size());
+        }
+        return this->failed - before;
+    }
+
+    /** Shares of requests that engines fail, by number; others fail one in a hundred. */
+    std::map<std::size_t, double> failing;
+
+    /** Engines that a VM leaves alone. */
+    [[nodiscard]] std::size_t left(std::size_t vm) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            this->tables[vm]->rows(), [](const auto& entry) { return entry.second.failing; }));
+    }
+    [[nodiscard]] std::size_t most_left() const
+    {
+        std::size_t most = 0;
+        for (std::size_t vm = 0; vm < this->tables.size(); ++vm)
+            most = std::max(most, this->left(vm));
+        return most;
+    }
+
+private:
+    struct attempt {
+        std::size_t vm;
+        server_entry* row;
+        instant ends;
+    };
+
+    static server_record record(std::size_t engine)
+    {
+        server_record made;
+        made.id = {std::to_string(engine)};
+        made.service = llm;
+        made.data_centre = {"dc"};
+        made.slots = 12;
+        return made;
+    }
+
+    void send(std::size_t vm)
+    {
+        constexpr double usual_failures = 0.01;
+        server_table& table = *this->tables[vm];
+        placing wanted{llm, true, this->random() % 2000 + 1, {}, 0};
+        wanted.repeatable = this->random() % 3 == 0;
+        server_entry& row = *table.choose(wanted, this->now).row;
+        row.trial.on_sent(this->now);
+        row.heard_at = this->now;
+        const auto faulty = this->failing.find(std::stoul(row.record.id.text));
+        const double share = faulty == this->failing.end() ? usual_failures : faulty->second;
+        if (std::uniform_real_distribution<>()(this->random) < share) {
+            ++this->failed;
+            server_table::on_answered(row, {}, true, this->now);
+            return;
+        }
+        ++row.in_flight;
+        this->attempts.push_back({vm, &row, this->now + answer_takes});
+    }
+
+    void finish()
+    {
+        std::erase_if(this->attempts, [this](const attempt& item) {
+            if (item.ends > this->now) return false;
+            --item.row->in_flight;
+            server_table::on_answered(*item.row, answer_takes, false, this->now);
+            return true;
+        });
+    }
+
+    void exchange()
+    {
+        if (this->now >= this->next_told) {
+            this->next_told = this->now + told_every;
+            for (const auto& from : this->tables) {
+                const std::vector<told_outcomes> news = from->take_outcome_news();
+                for (const auto& to : this->tables) {
+                    if (from == to) continue;
+                    for (const told_outcomes& item : news)
+                        to->take_outcomes(item, this->now);
+                }
+            }
+        }
+        if (this->now < this->next_marked) return;
+        this->next_marked = this->now + marked_every;
+        for (std::size_t vm = 0; vm < this->tables.size(); ++vm) {
+            this->members.self = static_cast<std::uint32_t>(vm + 1);
+            this->tables[vm]->mark_failing(this->members, this->now);
+            this->tables[vm]->sum_loads(this->now);
+        }
+    }
+
+    double requests_per_step;
+    instant now{seconds(1000)};
+    std::mt19937 random{1};
+    std::vector<std::unique_ptr<server_table>> tables;
+    fleet_members members;
+    std::vector<attempt> attempts;
+    instant next_told{};
+    instant next_marked{};
+    std::size_t failed = 0;
+};
+
+class failing_engines_are_left : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(failing_engines_are_left);
+    CPPUNIT_TEST(a_fifth_fails);
+    CPPUNIT_TEST(taken_back_when_sound);
+    CPPUNIT_TEST(all_fail_alike);
+    CPPUNIT_TEST(usual_failures);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::size_t vms = 16;
+    static constexpr std::size_t engines = 112;
+    static constexpr std::size_t faulty = 22;
+    static constexpr double requests_per_s = 450; ///< of one data centre
+
+    static data_centre_of_vms started(double failing_share)
+    {
+        data_centre_of_vms made(vms, requests_per_s, engines, failing_share);
+        made.run(seconds(4));
+        return made;
+    }
+
+    static void make_faulty(data_centre_of_vms& fleet, double share)
+    {
+        for (std::size_t engine = 0; engine < faulty; ++engine)
+            fleet.failing[engine] = share;
+    }
+
+    /** Failures in seven seconds after the first second of the fault. */
+    static std::size_t failures_after_the_first_second(double failing_share)
+    {
+        data_centre_of_vms fleet = started(failing_share);
+        make_faulty(fleet, 0.6);
+        fleet.run(seconds(1));
+        return fleet.run(seconds(7));
+    }
+
+public:
+    static void a_fifth_fails()
+    {
+        const std::size_t with = failures_after_the_first_second(placement_policy{}.failing_share);
+        const std::size_t without = failures_after_the_first_second(0);
+        const std::string seen = std::to_string(with) + " against " + std::to_string(without);
+        CPPUNIT_ASSERT_MESSAGE(seen, with * 5 <= without * 2);
+    }
+
+    static void taken_back_when_sound()
+    {
+        data_centre_of_vms fleet = started(placement_policy{}.failing_share);
+        make_faulty(fleet, 0.6);
+        fleet.run(seconds(6));
+        CPPUNIT_ASSERT(fleet.left(0) >= faulty * 3 / 4);
+        fleet.failing.clear();
+        fleet.run(seconds(8));
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.most_left()), fleet.most_left() <= 2);
+    }
+
+    /** The fault is elsewhere: leaving single engines alone would only burden the others. */
+    static void all_fail_alike()
+    {
+        data_centre_of_vms fleet = started(placement_policy{}.failing_share);
+        for (std::size_t engine = 0; engine < engines; ++engine)
+            fleet.failing[engine] = 0.45;
+        std::size_t most = 0;
+        for (int i = 0; i < 12; ++i) {
+            fleet.run(milliseconds(500));
+            most = std::max(most, fleet.most_left());
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(most), most <= engines / 4);
+    }
+
+    static void usual_failures()
+    {
+        data_centre_of_vms fleet = started(placement_policy{}.failing_share);
+        std::size_t most = 0;
+        for (int i = 0; i < 20; ++i) {
+            fleet.run(milliseconds(500));
+            most = std::max(most, fleet.most_left());
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(most), most <= 2);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(failing_engines_are_left);
+
+} // namespace
--- /dev/null
+++ b/test/error/cold_times_that_mean_nothing.cpp
@@ -0,0 +1,73 @@
+/** \file
+ * What other writers leave where times and rates of cold servers should stand: nothing good is
+ * lost, and no server is left alone for longer than a start can take.
+ */
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "errors.h"
+#include "platform.h"
+
+namespace {
+
+using namespace worksshift;
+
+class cold_times_that_mean_nothing : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(cold_times_that_mean_nothing);
+    CPPUNIT_TEST(of_a_server);
+    CPPUNIT_TEST(of_a_service);
+    CPPUNIT_TEST_SUITE_END();
+
+    protocol dialect = platform_protocol();
+
+    milliseconds cold_for(const std::string& told) const
+    {
+        stored_object entry;
+        entry.name = "a";
+        entry.document = R"({"service":"desk","address":"127.0.0.1:1","zone":"dc","version":"v1",)"
+                         R"("slots":4,"state":"ready","sequence":1,"coldRemainingMs":)" +
+                         told + "}";
+        return this->dialect.decode_server(entry).cold_for;
+    }
+
+    service_traits traits(const std::string& told) const
+    {
+        const auto config = this->dialect.decode_config(
+            R"({"version":1,"routes":[],"services":[{"name":"desk")" + told + "}]}");
+        return config->services.at({"desk"});
+    }
+
+public:
+    void of_a_server()
+    {
+        CPPUNIT_ASSERT(this->cold_for("2500") == milliseconds(2500));
+        CPPUNIT_ASSERT(this->cold_for("12.7") == milliseconds(12));
+        CPPUNIT_ASSERT(this->cold_for("-1") == milliseconds(0));
+        CPPUNIT_ASSERT(this->cold_for("-1e300") == milliseconds(0));
+        CPPUNIT_ASSERT(this->cold_for("1e300") == seconds(60));
+        CPPUNIT_ASSERT(this->cold_for("18446744073709551615") == seconds(60));
+        for (const std::string other : {"null", "\"3000\"", "[]", "true"})
+            CPPUNIT_ASSERT_THROW((void)this->cold_for(other), peer_error);
+    }
+
+    void of_a_service()
+    {
+        const service_traits sound = this->traits(R"(,"coldStartS":3.0,"coldPerS":13.0)");
+        CPPUNIT_ASSERT(sound.cold_start == seconds(3));
+        CPPUNIT_ASSERT(sound.cold_requests_per_s == 13);
+        CPPUNIT_ASSERT(this->traits(R"(,"coldPerS":0)").cold_requests_per_s == 0);
+        CPPUNIT_ASSERT(this->traits(R"(,"coldPerS":-4)").cold_requests_per_s == 0);
+        CPPUNIT_ASSERT(this->traits(R"(,"coldStartS":-4)").cold_start == milliseconds(0));
+        CPPUNIT_ASSERT(this->traits(R"(,"coldStartS":1e12)").cold_start == seconds(60));
+        for (const std::string other : {"null", "\"13\"", "[]", "{}"}) {
+            const service_traits made =
+                this->traits(R"(,"coldStartS":)" + other + R"(,"coldPerS":)" + other);
+            CPPUNIT_ASSERT(made.cold_start == milliseconds(0));
+            CPPUNIT_ASSERT(!made.cold_requests_per_s);
+        }
+        CPPUNIT_ASSERT(!this->traits("").cold_requests_per_s);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(cold_times_that_mean_nothing);
+
+} // namespace
--- a/test/support/router_fleet.cpp
+++ b/test/support/router_fleet.cpp
@@ -55,22 +55,24 @@
 {
     const auto found = std::ranges::find(this->listings, id, &listing::id);
     return R"({"service":")" + found->service + R"(","address":")" + to_string(found->address) +
-           R"(","zone":"dc","version":"v1","slots":8,"coldRemainingMs":0,"sequence":1,"state":")" +
-           state + R"("})";
+           R"(","zone":")" + found->data_centre +
+           R"(","version":"v1","slots":8,"coldRemainingMs":0,"sequence":1,"state":")" + state +
+           R"("})";
 }
 
 scripted_server& router_fleet::add_server(const std::string& id, const std::string& service,
-                                          scripted_server::script answer)
+                                          scripted_server::script answer,
+                                          const std::string& data_centre)
 {
     this->servers.push_back(std::make_unique<scripted_server>(this->base.get(), std::move(answer)));
-    this->list_server(id, service, this->servers.back()->address());
+    this->list_server(id, service, this->servers.back()->address(), data_centre);
     return *this->servers.back();
 }
 
 void router_fleet::list_server(const std::string& id, const std::string& service,
-                               const link_address& address)
+                               const link_address& address, const std::string& data_centre)
 {
-    this->listings.push_back({id, service, address});
+    this->listings.push_back({id, service, address, data_centre});
     this->store->put("servers", id, this->entry(id, "ready"));
 }
 
--- a/test/support/router_fleet.h
+++ b/test/support/router_fleet.h
@@ -24,10 +24,12 @@
     void start_all();
     /** Adds a server to the registry of the store. */
     scripted_server& add_server(const std::string& id, const std::string& service,
-                                scripted_server::script answer);
+                                scripted_server::script answer,
+                                const std::string& data_centre = "dc");
     /** Lists a server of the test's own in the registry. */
     void list_server(const std::string& id, const std::string& service,
-                     const worksshift::link_address& address);
+                     const worksshift::link_address& address,
+                     const std::string& data_centre = "dc");
     /** Where a router finds the store; takes effect with its next start. */
     [[nodiscard]] worksshift::link_address store_address(std::size_t router) const;
     void set_store_address(std::size_t router, const worksshift::link_address& address);
@@ -59,6 +61,7 @@
         std::string id;
         std::string service;
         worksshift::link_address address;
+        std::string data_centre;
     };
 
     std::vector<worksshift::link_address> stores; ///< by router
