The removal of a server that came and went between two updates is passed on

One VM of the two that watch was told of both together, dropped the removal as it did not know the server, and passed on the registry without it to VMs that had learnt of the server from the other one; 12 requests reached it up to 5 s after it left. Ruled out: a removal taken for that of a former life; a lapse. Change: a removal is news also where the object is not known. The new test fails without it (1 object, not 2).

--- a/src/registry_feed.cpp
+++ b/src/registry_feed.cpp
@@ -76,7 +76,9 @@
 bool registry_feed::is_news(const stored_object& item) const
 {
     const auto known = this->entries.find(item.name);
-    if (known == this->entries.end()) return !item.removed;
+    // The removal of an object that came and went between two updates is news, too: other VMs may
+    // have learnt of the object from somebody else.
+    if (known == this->entries.end()) return true;
     return item.removed ? item.revision >= known->second.revision
                         : item.revision > known->second.revision;
 }
--- a/test/error/servers_that_leave_or_lapse.cpp
+++ b/test/error/servers_that_leave_or_lapse.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(lapsed_while_nobody_noticed_are_kept_for_a_while);
     CPPUNIT_TEST(drains);
     CPPUNIT_TEST(feed_passes_on_changes);
+    CPPUNIT_TEST(feed_passes_on_removals_of_what_it_never_saw);
     CPPUNIT_TEST(feed_passes_on_the_whole);
     CPPUNIT_TEST(feed_passes_over_what_is_older);
     CPPUNIT_TEST(feed_refuses_other_bytes);
@@ -131,6 +132,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.size());
     }
 
+    /** A server that was added and taken away at once: one VM was told of both together, another
+     * one saw it added and then asks the first. */
+    static void feed_passes_on_removals_of_what_it_never_saw()
+    {
+        registry_feed source;
+        registry_feed copy;
+        const std::vector<stored_object> all{entry("a")};
+        source.take({10, true, all});
+        copy.take({10, true, all});
+        copy.take({12, false, {entry("b", "ready", 12)}});
+        source.take({14, false, {removal("b", 13), entry("a", "draining", 14)}});
+        const auto news = copy.take(source.since(12));
+        CPPUNIT_ASSERT(news.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, news->objects.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, copy.since(0).objects.size());
+    }
+
     static void feed_passes_on_changes()
     {
         registry_feed source;
