What is told of evacuations is always the whole state

Change: all entries are told while a digest holds them; with more, only those of data centres that servers are in, and nothing before all servers are known. The new test fails without it.

--- a/src/evacuation_follower.cpp
+++ b/src/evacuation_follower.cpp
@@ -58,10 +58,10 @@
     return found;
 }
 
-void evacuation_follower::describe(fleet_digest& digest) const
+void evacuation_follower::describe(fleet_digest& digest, bool all_servers_known) const
 {
     std::set<std::uint32_t> known;
-    if (!this->places.places().empty()) {
+    if (all_servers_known && this->places.places().size() > evacuated_at_most) {
         for (const auto& [hash, name] : this->names())
             known.insert(hash);
     }
--- a/src/evacuation_follower.h
+++ b/src/evacuation_follower.h
@@ -25,8 +25,9 @@
     void tick(instant now, std::optional<read_mode> watched);
     /** Another VM told what it knows. */
     void take_digest(const fleet_digest& told);
-    /** Fills in what this VM tells others. */
-    void describe(fleet_digest& digest) const;
+    /** Fills in what this VM tells others. \p all_servers_known: the registry is, so that the data
+     * centres are, too. */
+    void describe(fleet_digest& digest, bool all_servers_known) const;
 
     [[nodiscard]] bool known() const { return this->places.known(); }
     [[nodiscard]] std::uint64_t revision() const { return this->places.revision(); }
--- a/src/evacuations.cpp
+++ b/src/evacuations.cpp
@@ -43,10 +43,16 @@
 
 void evacuation_state::describe(fleet_digest& digest, const std::set<std::uint32_t>& known) const
 {
-    digest.evacuations_revision = this->newest;
     digest.evacuated.clear();
-    std::ranges::set_intersection(this->current, known, std::back_inserter(digest.evacuated));
-    digest.evacuated.resize(std::min(digest.evacuated.size(), evacuated_at_most));
+    digest.evacuations_revision = 0;
+    if (this->current.size() <= evacuated_at_most) {
+        digest.evacuated.assign(this->current.begin(), this->current.end());
+    } else {
+        if (known.empty()) return;
+        std::ranges::set_intersection(this->current, known, std::back_inserter(digest.evacuated));
+        if (digest.evacuated.size() > evacuated_at_most) return;
+    }
+    digest.evacuations_revision = this->newest;
 }
 
 } // namespace worksshift
--- a/src/evacuations.h
+++ b/src/evacuations.h
@@ -29,8 +29,9 @@
     void take_changes(std::span<const stored_object> changed, std::uint64_t revision);
     /** What another VM tells. */
     void take_digest(const fleet_digest& told);
-    /** Fills in what this VM tells others: of the data centres that \p known names, so that
-     * entries for places that do not exist cost no bytes. */
+    /** Fills in what this VM tells others. When there are more entries than a digest holds, it
+     * tells of the data centres that \p known names, or nothing while \p known is empty: what is
+     * told is the whole state to whoever hears it, so nothing may be left out of it unawares. */
     void describe(fleet_digest& digest, const std::set<std::uint32_t>& known) const;
 
     /** Whether the state is known, empty or not. */
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -248,7 +248,7 @@
     state.digest.stated_loads = this->servers.take_news(time);
     state.digest.outcomes = this->servers.take_outcome_news();
     this->registry.describe(state.digest, time);
-    this->evacuations.describe(state.digest);
+    this->evacuations.describe(state.digest, this->registry.known());
     state.servers = this->servers.rows().size();
     for (const auto& [id, row] : this->servers.rows()) {
         // Whoever hears a server's own word needs no sums of requests.
--- a/test/fuzz/evacuations_reach_every_vm.cpp
+++ b/test/fuzz/evacuations_reach_every_vm.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(when_its_history_is_gone);
     CPPUNIT_TEST(when_it_was_away);
     CPPUNIT_TEST(that_a_vm_finds_at_its_start);
+    CPPUNIT_TEST(that_a_vm_knows_before_its_servers);
     CPPUNIT_TEST(over_a_series_of_faults);
     CPPUNIT_TEST(of_places_that_do_not_exist);
     CPPUNIT_TEST_SUITE_END();
@@ -132,6 +133,35 @@
         CPPUNIT_ASSERT(fleet.all_evacuate({"a"}));
     }
 
+    /** A VM that has just started reads the list of evacuations before it knows any server. What it
+     * tells must not take back what the others know. */
+    static void that_a_vm_knows_before_its_servers()
+    {
+        const protocol dialect = platform_protocol();
+        evacuation_state starting(dialect);
+        stored_object item;
+        item.name = "a";
+        const std::vector<stored_object> all{item};
+        starting.take_list(all, 9);
+        fleet_digest digest;
+        starting.describe(digest, {});
+        evacuation_state other(dialect);
+        other.take_list(all, 5);
+        other.take_digest(digest);
+        CPPUNIT_ASSERT(other.includes({"a"}));
+        // With more entries than it can tell of, it tells nothing until it knows the servers.
+        std::vector<stored_object> many = all;
+        for (std::size_t i = 0; i <= evacuated_at_most; ++i) {
+            item.name = "nowhere-" + std::to_string(i);
+            many.push_back(item);
+        }
+        starting.take_list(many, 12);
+        starting.describe(digest, {});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, digest.evacuations_revision);
+        other.take_digest(digest);
+        CPPUNIT_ASSERT(other.includes({"a"}));
+    }
+
     /** Whatever happened before, all know the truth soon after it is over. */
     static void over_a_series_of_faults()
     {
