Servers are taken for cold no longer than they say; what was tried with engines out of reach

Cause: a server that started again was cold for the whole time from when a VM heard of it, up to a second longer than its entry said. Change: its entry goes before the whole time; the end of an evacuation counts for the whole time.

--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -349,7 +349,8 @@
 void request_path::note_outcome(const live_request& item, const attempt_end& end, instant time)
 {
     if (item.gone || item.answer.status == misdirected) return;
-    // An engine that turns a request away is full, which its load tells.
+    // An engine that turns a request away is full, which its load tells; one that is out of reach
+    // is found out by each VM for itself, as it may be so for that VM only.
     if (item.engine && (item.refused || end.result == send_result::not_sent)) return;
     const bool failed =
         item.refused || end.result != send_result::answered || item.answer.status >= server_error;
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -82,27 +82,32 @@
 
 } // namespace
 
-/** A server that started again is cold for the whole time from now on: its entry may have been on
- * its way for a while, or tell of a moment before it turned cold. */
+/** A server that started again and does not say for how long it is cold is so for the whole time
+ * from now on: its entry may tell of a moment before it turned cold. */
 void server_table::note_cold(server_entry& row, bool restarted, instant now)
 {
-    const milliseconds whole = this->services[row.record.service].traits.cold_start;
-    const milliseconds left = std::max(row.record.cold_for, restarted ? whole : milliseconds{});
-    if (left <= milliseconds{}) return;
+    const milliseconds told = row.record.cold_for;
+    if (told > milliseconds{}) {
+        turn_cold(row, told, "entry", now);
+    } else if (restarted) {
+        turn_cold(row, this->services[row.record.service].traits.cold_start, "restart", now);
+    }
+}
+
+void server_table::turn_cold(server_entry& row, milliseconds span, std::string_view cause,
+                             instant now)
+{
+    if (span <= milliseconds{}) return;
     if (!row.cold.cold(now)) {
         log_event(log_level::info, "server_cold",
-                  {{"server", row.record.id.text},
-                   {"told_ms", row.record.cold_for.count()},
-                   {"for_ms", left.count()},
-                   {"restarted", restarted ? 1 : 0}});
+                  {{"server", row.record.id.text}, {"for_ms", span.count()}, {"cause", cause}});
     }
-    row.cold.extend(now + left);
+    row.cold.extend(now + span);
 }
 
 void server_table::mark_unreachable(server_entry& row, instant now)
 {
-    const milliseconds whole = this->services[row.record.service].traits.cold_start;
-    if (whole > milliseconds{}) row.cold.extend(now + server_health::first_pause + whole);
+    turn_cold(row, this->services[row.record.service].traits.cold_start, "unreachable", now);
 }
 
 /** Servers of a data centre that was evacuated may be cold when it is over. */
@@ -112,7 +117,8 @@
     for (auto& [id, row] : this->table) {
         const bool before = std::exchange(
             row.evacuated, this->evacuated.contains(short_hash(row.record.data_centre)));
-        if (before && !row.evacuated) this->note_cold(row, true, now);
+        const milliseconds whole = this->services[row.record.service].traits.cold_start;
+        if (before && !row.evacuated) turn_cold(row, whole, "evacuation", now);
     }
 }
 
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -165,6 +165,8 @@
     static bool is_allowed(const server_entry& row, const placing& wanted);
     static bool may_serve(const server_entry& row, const placing& wanted);
     void note_cold(server_entry& row, bool restarted, instant now);
+    static void turn_cold(server_entry& row, milliseconds span, std::string_view cause,
+                          instant now);
     [[nodiscard]] const server_entry* find_cached(const placing& wanted, const server_entry& chosen,
                                                   instant now) const;
 
