--- a/src/cold_servers.h
+++ b/src/cold_servers.h
@@ -41,9 +41,9 @@
     }
 };
 
-/** The VMs beside which one may send. It hears those of its own data centre directly, so it knows
- * them all a second after it has joined; of the others in a fleet of hundreds it hears by rumours,
- * and knew two thirds of them after 8 s. */
+/** The VMs beside which one may send. It hears those of its own data centre directly, so it soon
+ * knows them all; of the others in a fleet of hundreds it hears by rumours, and with 480 VMs knew
+ * two thirds of them 8 s after the start. */
 struct fleet_members {
     std::uint32_t self = 0;                  ///< its address
     std::uint32_t data_centre = 0;           ///< its own, by the low half of the name's hash
@@ -64,8 +64,8 @@
     bool drawn = false;            ///< the first request waits for a part of the pause, drawn
 };
 
-/** Of one VM's requests, as many come in a second as it has pauses in it; what is a little longer
- * than its part keeps the next one out, also where the first took longer on its way. */
+/** In any second as many of a VM's requests arrive as pauses fit into this time. The 50 ms beyond
+ * the second are for a request that took longer on its way than the next one. */
 constexpr duration cold_second = milliseconds(1050);
 
 /** \p senders: requests in any second that the VMs which send make together at most, as a share of
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -208,9 +208,8 @@
         row.peers_in_flight = load_at(others, short_hash(row));
 }
 
-/** Which VMs send to a server that is cold, and which try one that fails. Of those that went away
- * lately nothing is sent, as other VMs may still count on them; what they would have sent is a few
- * requests. */
+/** Which VMs send to a server that is cold, and which try one that fails. VMs that were lost lately
+ * keep their part, since not all may have noticed: it is left unused, a few requests. */
 void router::divide_work(instant time)
 {
     if (time - this->divided_at < divided_every) return;
