--- a/src/store_follow.h
+++ b/src/store_follow.h
@@ -19,6 +19,11 @@
     /** When no VM gave a newer configuration by then, this one asks the store by itself. */
     static constexpr duration peers_tell_within = milliseconds(700);
 
+    /** A VM that begins to watch learns from the registry's watch first whether the store answers
+     * it. When the store is away for all, each of them begins, and each would ask in vain once
+     * more. */
+    static constexpr duration evacuations_asked_after = milliseconds(500);
+
     explicit store_follow(object_kind kind, unsigned seed = std::random_device{}())
         : watch(kind, seed), kind(kind)
     {
@@ -34,6 +39,13 @@
         const bool alone = this->kind == object_kind::configuration &&
                            this->fetching.behind_for(peers_tell_within, now);
         if (alone) watched = read_mode::linearizable;
+        if (!watched) {
+            this->wanted_since = instant{};
+        } else if (this->wanted_since == instant{}) {
+            this->wanted_since = now;
+        }
+        const bool early = now - this->wanted_since < evacuations_asked_after;
+        if (this->kind == object_kind::evacuations && early) watched.reset();
         if (!known && !watched) watched = read_mode::stale;
         this->watch.set_mode(watched, now);
     }
@@ -43,6 +55,7 @@
 
 private:
     object_kind kind;
+    instant wanted_since{}; ///< it is for this VM to watch; the epoch: it is not
 };
 
 } // namespace worksshift
