Sight: log lines name what a request asks, and how long a broken attempt had run

Why: the incident's logs could not tell whether one request ends servers again and again, as each repeat has an id of its own.

--- a/src/live_request.h
+++ b/src/live_request.h
@@ -9,6 +9,7 @@
 
 #include "event_stream.h"
 #include "protocol.h"
+#include "request_content.h"
 #include "server_table.h"
 
 namespace worksshift {
@@ -27,6 +28,7 @@
     service_id service;
     bool engine = false;
     std::uint64_t affinity = 0;
+    content_key content{};
     instant arrived{};
     instant deadline{};
 
@@ -37,8 +39,9 @@
     server_entry* row = nullptr; ///< of the attempt
     placed where;
     duration loads_age{}; ///< of the other VMs' loads when the server was chosen
-    instant sent{};       ///< the attempt
-    instant last_byte{};  ///< of the attempt, or when it was sent
+    instant attempt_since{};
+    instant sent{};      ///< the attempt; the epoch once its first event has come
+    instant last_byte{}; ///< of the attempt, or when it was sent
 
     std::optional<std::uint32_t> told_load; ///< by the server, with its answer
     http_head answer;
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -139,6 +139,7 @@
     const auto traits = item.config->services.find(item.service);
     item.engine = traits != item.config->services.end() && traits->second.engine;
     item.affinity = affinity_of(item.facts.prompt);
+    item.content = content_of(item.way->host, item.head.target, item.account, item.body);
     duration span = item.way->timeout;
     if (item.facts.deadline) span = std::min<duration>(span, *item.facts.deadline);
     item.deadline = item.arrived + span;
@@ -198,6 +199,7 @@
     item.row = &row;
     item.where = where;
     item.loads_age = time - this->table.peers_summed_at;
+    item.attempt_since = time;
     item.sent = time;
     item.last_byte = time;
     item.refused = false;
@@ -457,6 +459,7 @@
          {"status", status},
          {"route", item.way == nullptr ? std::string() : item.way->name},
          {"account", item.account.text},
+         {"content", to_text(item.content)},
          {"ignored_headers", item.facts.ignored_headers.size()},
          {"server", item.tried.empty() ? none.text : item.tried.back().text},
          {"rank", item.where.rank},
@@ -569,6 +572,8 @@
                {"outcome", outcome},
                {"step", step},
                {"detail", detail},
+               {"content", to_text(item.content)},
+               {"ran_ms", in_ms(now() - item.attempt_since)},
                {"server", item.tried.empty() ? std::string() : item.tried.back().text},
                {"send", item.sends},
                {"runs", item.runs},
