--- /dev/null
+++ b/test/error/servers_that_leave_or_ask_for_rest.cpp
@@ -0,0 +1,266 @@
+/** \file
+ * A server's answers say that it leaves, or, where it turns a request away, for how long it wants
+ * nothing: it gets no more requests then, whatever the registry says, and callers are served by
+ * others or told at once when to come back.
+ *
+ * What was seen: requests reached an engine two seconds after its answers had said that it leaves,
+ * as its word in the registry was held up for twelve seconds while the store was away; and engines
+ * that had asked for three seconds of rest got five requests of one VM in that time.
+ */
+#include <algorithm>
+#include <array>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "support/path_rig.h"
+
+namespace {
+
+using namespace support;
+using namespace worksshift;
+using then = scripted_answer::then;
+
+/** Requests that may reach a server which asked for rest, of those that were on their way. */
+constexpr std::size_t late_at_most = 2;
+
+class servers_that_leave_or_ask_for_rest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(servers_that_leave_or_ask_for_rest);
+    CPPUNIT_TEST(leaving_gets_nothing_more);
+    CPPUNIT_TEST(leaving_engine_ends_its_streams);
+    CPPUNIT_TEST(leaving_is_not_forgotten);
+    CPPUNIT_TEST(leaving_ends_with_its_life);
+    CPPUNIT_TEST(leaving_that_means_nothing);
+    CPPUNIT_TEST(rest_is_kept_to);
+    CPPUNIT_TEST(rest_of_all_is_told_to_callers);
+    CPPUNIT_TEST(rest_is_not_forgotten);
+    CPPUNIT_TEST(rest_that_means_nothing);
+    CPPUNIT_TEST(rest_without_end);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::unique_ptr<path_rig> rig;
+    std::string first_says; ///< headers of the first server's answers
+    int first_status = 200;
+    unsigned ids = 0;
+
+    scripted_answer answer_first(const std::string& request) const
+    {
+        if (request.starts_with("POST")) {
+            std::string head = stream_head(request);
+            head.insert(head.find("Content-Type"), this->first_says);
+            return {head + event_chunk(1, "x") + "0\r\n\r\n", then::keep};
+        }
+        return {answer_text(this->first_status, request, "first", this->first_says), then::keep};
+    }
+
+    static scripted_answer answer_second(const std::string& request)
+    {
+        if (request.starts_with("POST")) {
+            return {stream_head(request) + event_chunk(1, "x") + "0\r\n\r\n", then::keep};
+        }
+        return {answer_text(200, request, "second"), then::keep};
+    }
+
+    void start(const std::string& service, bool second)
+    {
+        this->rig = std::make_unique<path_rig>();
+        this->rig->path->set_config(this->rig->dialect.decode_config(example_config(1)));
+        this->rig->add_server("first", service, [this](const std::string& request) {
+            return this->answer_first(request);
+        });
+        if (second) this->rig->add_server("second", service, answer_second);
+    }
+
+    [[nodiscard]] std::size_t asked(std::size_t server) const
+    {
+        return this->rig->all_servers()[server]->requests.size();
+    }
+
+    std::string ask(const std::string& method = "GET", const std::string& target = "/safe/x")
+    {
+        raw_caller& caller = this->rig->add_caller();
+        const std::string body = method == "POST" ? "x" : "";
+        caller.send(request_text(method, target, std::to_string(++this->ids), body));
+        const auto whole = [&caller] {
+            const std::string length = header_in(caller.received, "content-length");
+            return caller.received.ends_with("0\r\n\r\n") ||
+                   (!length.empty() && body_in(caller.received).size() >= std::stoul(length));
+        };
+        CPPUNIT_ASSERT(this->rig->run_until(whole));
+        return caller.received;
+    }
+
+    static int status_of(const std::string& answer) { return std::stoi(answer.substr(9, 3)); }
+
+    void ask_until_first_answers(const std::string& method = "GET",
+                                 const std::string& target = "/safe/x")
+    {
+        const std::size_t before = this->asked(0);
+        for (int i = 0; i < 200 && this->asked(0) == before; ++i)
+            this->ask(method, target);
+        CPPUNIT_ASSERT(this->asked(0) > before);
+    }
+
+    /** Requests that the first server gets of many. All are answered with \p status. */
+    std::size_t first_gets(int status = 200, const std::string& method = "GET",
+                           const std::string& target = "/safe/x")
+    {
+        const std::size_t before = this->asked(0);
+        for (int i = 0; i < 40; ++i)
+            CPPUNIT_ASSERT_EQUAL(status, status_of(this->ask(method, target)));
+        return this->asked(0) - before;
+    }
+
+    void turn_away_for(const std::string& retry_after)
+    {
+        this->first_status = 503;
+        this->first_says = "X-Not-Executed: 1\r\nRetry-After: " + retry_after + "\r\n";
+    }
+
+    void serve_again()
+    {
+        this->first_status = 200;
+        this->first_says.clear();
+    }
+
+    /** The entry lapses and is back, as after the store was away. */
+    void list_anew(std::uint64_t born_ms = 0)
+    {
+        server_record record = this->rig->table.find(server_id{"first"})->record;
+        record.born_ms = born_ms;
+        this->rig->table.remove(record.id);
+        this->rig->table.sweep();
+        this->rig->table.put(record, std::chrono::steady_clock::now());
+    }
+
+public:
+    void tearDown() override
+    {
+        this->rig.reset();
+        this->serve_again();
+    }
+
+    void leaving_gets_nothing_more()
+    {
+        this->start("desk", true);
+        this->first_says = "Server-Leaving: 1\r\n";
+        this->ask_until_first_answers();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->first_gets());
+        // With nobody else to serve, callers are told so, and that nothing ran.
+        this->rig->table.remove(server_id{"second"});
+        const std::string answer = this->ask();
+        CPPUNIT_ASSERT_EQUAL(503, status_of(answer));
+        CPPUNIT_ASSERT(!header_in(answer, "retry-after").empty());
+    }
+
+    void leaving_engine_ends_its_streams()
+    {
+        this->start("llm", true);
+        this->first_says = "Server-Leaving: 1\r\n";
+        this->ask_until_first_answers("POST", "/stream/x");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->first_gets(200, "POST", "/stream/x"));
+    }
+
+    void leaving_is_not_forgotten()
+    {
+        this->start("desk", true);
+        this->first_says = "Server-Leaving: 1\r\n";
+        this->ask_until_first_answers();
+        // What it says later without the word may have been made before.
+        this->serve_again();
+        const server_record ready = this->rig->table.find(server_id{"first"})->record;
+        this->rig->table.put(ready, std::chrono::steady_clock::now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->first_gets());
+        this->list_anew();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->first_gets());
+    }
+
+    void leaving_ends_with_its_life()
+    {
+        this->start("desk", true);
+        this->first_says = "Server-Leaving: 1\r\n";
+        this->ask_until_first_answers();
+        this->serve_again();
+        this->list_anew(5000);
+        CPPUNIT_ASSERT(this->first_gets() > 0);
+    }
+
+    void leaving_that_means_nothing()
+    {
+        for (const char* value : {"0", "", "no", "-1", "99999999999999999999999999"}) {
+            this->start("desk", true);
+            this->first_says = std::string("Server-Leaving: ") + value + "\r\n";
+            this->ask_until_first_answers();
+            CPPUNIT_ASSERT(this->first_gets() > 0);
+        }
+    }
+
+    void rest_is_kept_to()
+    {
+        this->start("desk", true);
+        this->turn_away_for("1.5");
+        const instant begin = std::chrono::steady_clock::now();
+        this->ask_until_first_answers();
+        this->rig->run_for(milliseconds(500));
+        const std::size_t before = this->asked(0);
+        while (std::chrono::steady_clock::now() - begin < milliseconds(1400))
+            CPPUNIT_ASSERT_EQUAL(200, status_of(this->ask()));
+        CPPUNIT_ASSERT(this->asked(0) - before <= late_at_most);
+        this->serve_again();
+        this->rig->run_for(milliseconds(300));
+        CPPUNIT_ASSERT(this->first_gets() > 0);
+    }
+
+    void rest_of_all_is_told_to_callers()
+    {
+        this->start("desk", false);
+        this->turn_away_for("1.5");
+        this->ask();
+        this->rig->run_for(milliseconds(500));
+        const std::size_t before = this->asked(0);
+        const instant begin = std::chrono::steady_clock::now();
+        const std::string answer = this->ask();
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(503, status_of(answer));
+        const double told = std::stod(header_in(answer, "retry-after"));
+        CPPUNIT_ASSERT(told > 0.6 && told <= 1.1);
+        CPPUNIT_ASSERT_EQUAL(before, this->asked(0));
+    }
+
+    void rest_is_not_forgotten()
+    {
+        this->start("desk", true);
+        this->turn_away_for("3");
+        this->ask_until_first_answers();
+        this->list_anew();
+        CPPUNIT_ASSERT(this->first_gets() <= late_at_most);
+    }
+
+    void rest_that_means_nothing()
+    {
+        for (const char* value :
+             {"-5", "nan", "inf", "abc", "", "0", "1e", "Wed, 21 Oct 2015 07:28:00 GMT"}) {
+            this->start("desk", true);
+            this->turn_away_for(value);
+            this->ask_until_first_answers();
+            CPPUNIT_ASSERT(this->first_gets() > late_at_most);
+        }
+    }
+
+    void rest_without_end()
+    {
+        for (const char* value : {"1e300", "99999999999999999999999999"}) {
+            this->start("desk", true);
+            this->turn_away_for(value);
+            this->ask_until_first_answers();
+            CPPUNIT_ASSERT(this->first_gets() <= late_at_most);
+            // The server starts again, and takes requests again.
+            this->serve_again();
+            this->list_anew(7000);
+            CPPUNIT_ASSERT(this->first_gets() > 0);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(servers_that_leave_or_ask_for_rest);
+
+} // namespace
