A server that says in an answer that it leaves gets nothing new

What callers saw: requests reached an engine 2,072 and 2,243 ms after its answers to the same VMs had said that it leaves (2,000 allowed), and would have until it ended: its word in the registry was accepted twelve seconds later.

Cause: the header was not decoded; only the registry moved a server out of use, and the store was away.

Change: the word is heeded as the answer's head comes, kept by life of the server, so that an older entry, or one that lapses and comes back, does not undo it, and told in digests (4 bytes each, at most 16) while the registry says ready.

--- a/src/fleet_digest.cpp
+++ b/src/fleet_digest.cpp
@@ -98,6 +98,7 @@
     save_items(archive, item.outcomes);
     save_items(archive, item.crash_reports);
     save_items(archive, item.blocked);
+    save_items(archive, item.leaving_servers);
     save_items(archive, item.vms);
 }
 
@@ -115,6 +116,7 @@
     load_items(archive, item.outcomes);
     load_items(archive, item.crash_reports);
     load_items(archive, item.blocked);
+    load_items(archive, item.leaving_servers);
     load_items(archive, item.vms);
 }
 
--- a/src/fleet_digest.h
+++ b/src/fleet_digest.h
@@ -82,6 +82,9 @@
 /** Blocked contents in one digest at most: the newest. */
 constexpr std::size_t blocked_contents_at_most = 16;
 
+/** Servers in one digest at most that leave by their own word. */
+constexpr std::size_t leaving_servers_at_most = 16;
+
 /** Evacuated data centres in one digest at most. */
 constexpr std::size_t evacuated_at_most = 32;
 
@@ -97,7 +100,7 @@
 
 /** State of one VM, as it tells it itself. */
 struct fleet_digest {
-    std::uint8_t format = 7;
+    std::uint8_t format = 8;
     std::uint32_t incarnation = 0; ///< random for each start of the process
     std::uint32_t sequence = 0;
     std::uint32_t data_centre = 0;
@@ -124,6 +127,8 @@
     std::uint16_t requests_per_s = 0;        ///< that ask the sender for a model engine, in tenths
     std::vector<crash_report> crash_reports; ///< new to the sender
     std::vector<blocked_content> blocked;
+    /** Servers that leave by their own word, which the registry lists as ready: lives of them. */
+    std::vector<std::uint32_t> leaving_servers;
     std::vector<vm_rumour> vms;
 };
 
--- a/src/protocol.h
+++ b/src/protocol.h
@@ -56,7 +56,8 @@
     std::string request_id;              ///< echoed; empty: none
     bool not_executed = false;           ///< the server states that it did not run the request
     std::optional<seconds> idle_timeout; ///< of the connection
-    bool close = false;                  ///< the server closes the connection, or is leaving
+    bool close = false;                  ///< the server closes the connection
+    bool leaving = false;                ///< the server leaves, and should get nothing new
     std::optional<std::uint32_t> load;   ///< requests that the server runs or queues
 };
 
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -272,11 +272,27 @@
     // A resumed answer keeps the head of its first server.
     if (!item->begun) item->answer = head;
     item->held.clear();
-    if (head.status == misdirected) this->table.mark_replaced(item->row->record.id);
+    if (head.status == misdirected) {
+        this->table.mark_replaced(item->row->record.id);
+    } else {
+        this->heed(*item, facts);
+    }
     item->events.resume();
     item->unusable = item->begun && !item->streaming;
 }
 
+/** What the server says of itself goes before what the registry says, which may be held up while
+ * the store is away: until that is heard, requests would go on to a server that is about to end. */
+void request_path::heed(const live_request& item, const answer_facts& facts)
+{
+    server_entry& row = *item.row;
+    if (facts.leaving && this->table.mark_leaving(row)) {
+        log_event(
+            log_level::info, "server_leaving",
+            {{"server", row.record.id.text}, {"request", item.facts.id}, {"source", "its answer"}});
+    }
+}
+
 void request_path::take_body(std::uint64_t attempt, std::string_view bytes)
 {
     live_request* item = this->find_attempt(attempt);
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -152,6 +152,12 @@
             this->servers.take_stated(item, from.heard_at);
         for (const told_outcomes& item : from.last.outcomes)
             this->servers.take_outcomes(item, from.heard_at);
+        for (const std::uint32_t life : from.last.leaving_servers) {
+            if (!this->servers.mark_leaving(server_life{life})) continue;
+            const server_entry* row = this->servers.find(server_life{life});
+            log_event(log_level::info, "server_leaving",
+                      {{"server", row->record.id.text}, {"source", to_text(from.address)}});
+        }
         const bool near = this->gossip.fleet().is_near(from);
         this->path.suspects().take_digest(from.last, near, from.heard_at);
         this->configuration.take_digest(from);
@@ -268,6 +274,7 @@
     this->registry.describe(state.digest, time);
     this->evacuations.describe(state.digest, this->registry.known());
     this->path.suspects().describe(state.digest, time);
+    state.digest.leaving_servers = this->servers.leaving_early(leaving_servers_at_most);
     state.distant_crash_reports = this->path.suspects().reports_to_distant();
     state.servers = this->servers.rows().size();
     for (const auto& [id, row] : this->servers.rows()) {
--- a/src/server_entry.h
+++ b/src/server_entry.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "cold_servers.h"
+#include "crash_suspects.h"
 #include "first_event_delay.h"
 #include "protocol.h"
 #include "recent_outcomes.h"
@@ -24,7 +25,8 @@
 
 struct server_entry {
     server_record record;
-    std::uint64_t hash = 0;            ///< of its id, for ranking
+    std::uint64_t hash = 0; ///< of its id, for ranking
+    server_life life{};
     instant listed_at{};               ///< when this life of the server was first listed
     std::uint32_t in_flight = 0;       ///< attempts of this VM
     std::uint32_t peers_in_flight = 0; ///< of the other VMs, as they last told
@@ -40,6 +42,7 @@
     cold_gate cold;
     bool gone = false;     ///< not in the registry any more; kept until idle
     bool replaced = false; ///< another server answered at its address
+    bool leaving = false;  ///< by its own answers, to this VM or another
 
     instant heard_at{};    ///< a byte of an answer came
     instant waited_from{}; ///< attempts are under way without a pause since
@@ -91,7 +94,8 @@
     [[nodiscard]] bool over() const { return this->gone && this->in_flight == 0; }
     [[nodiscard]] bool takes_work() const
     {
-        return !this->gone && !this->replaced && !this->record.draining && !this->evacuated;
+        return !this->gone && !this->replaced && !this->leaving && !this->record.draining &&
+               !this->evacuated;
     }
 };
 
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -214,12 +214,15 @@
     const bool restarted = added && known_before;
     row.record = record;
     row.hash = record.id.hash();
+    row.life = life_of(record);
+    row.leaving = this->words.leaving(row.life);
     row.outcomes.set_fade(fade_of(this->services[record.service].traits));
     row.evacuated = this->evacuated.contains(short_hash(record.data_centre));
     const auto region = this->regions.find(record.data_centre);
     if (region != this->regions.end()) row.region = region->second;
     this->note_cold(row, restarted, now);
     this->by_short_hash[static_cast<std::uint32_t>(row.hash)] = &row;
+    this->by_life[row.life] = &row;
     row.gone = false;
     return changed;
 }
@@ -229,6 +232,7 @@
     row.gone = true;
     std::erase(this->services[row.record.service].rows, &row);
     this->by_short_hash.erase(static_cast<std::uint32_t>(row.hash));
+    this->by_life.erase(row.life);
     this->former.push_back(this->table.extract(row.record.id));
 }
 
@@ -253,9 +257,31 @@
 
 server_entry* server_table::find(server_life life)
 {
-    const auto found = std::ranges::find_if(
-        this->table, [life](const auto& entry) { return life_of(entry.second.record) == life; });
-    return found == this->table.end() ? nullptr : &found->second;
+    const auto found = this->by_life.find(life);
+    return found == this->by_life.end() ? nullptr : found->second;
+}
+
+bool server_table::mark_leaving(server_entry& row)
+{
+    row.leaving = true;
+    return this->words.note_leaving(row.life);
+}
+
+bool server_table::mark_leaving(server_life life)
+{
+    server_entry* row = this->find(life);
+    return row != nullptr && this->mark_leaving(*row);
+}
+
+std::vector<std::uint32_t> server_table::leaving_early(std::size_t count) const
+{
+    std::vector<std::uint32_t> lives;
+    for (const auto& [id, row] : this->table) {
+        if (lives.size() >= count) break;
+        if (!row.leaving || row.gone || row.record.draining) continue;
+        lives.push_back(static_cast<std::uint32_t>(row.life));
+    }
+    return lives;
 }
 
 void server_table::sweep()
@@ -264,6 +290,7 @@
         std::erase_if(group.rows, [](const server_entry* row) { return row->over(); });
     }
     std::erase_if(this->by_short_hash, [](const auto& entry) { return entry.second->over(); });
+    std::erase_if(this->by_life, [](const auto& entry) { return entry.second->over(); });
     std::erase_if(this->table, [](const auto& entry) { return entry.second.over(); });
     std::erase_if(this->former, [](const auto& node) { return node.mapped().over(); });
 }
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -23,6 +23,7 @@
 #include "placement_policy.h"
 #include "protocol.h"
 #include "server_entry.h"
+#include "server_words.h"
 #include "slot_forecast.h"
 
 namespace worksshift {
@@ -89,6 +90,13 @@
     bool remove(const server_id& id);
     /** Another server answered at the address. */
     void mark_replaced(const server_id& id);
+    /** A server's own answer says that it leaves. Returns whether it was not known. */
+    bool mark_leaving(server_entry& row);
+    /** Another VM was told so. Likewise. */
+    bool mark_leaving(server_life life);
+    /** Servers that leave by their own word while the registry lists them as ready: lives of the
+     * first so many. */
+    [[nodiscard]] std::vector<std::uint32_t> leaving_early(std::size_t count) const;
     /** A connection to the server was refused or timed out: it may be about to start again. */
     void mark_unreachable(server_entry& row, instant now);
     /** The data centres, by the low half of their names' hashes, whose servers take no requests. */
@@ -210,6 +218,8 @@
 
     std::unordered_map<service_id, service_state> services;
     std::unordered_map<std::uint32_t, server_entry*> by_short_hash;
+    std::unordered_map<server_life, server_entry*> by_life;
+    server_words words;
     std::minstd_rand random;
 };
 
--- /dev/null
+++ b/test/correctness/leaving_servers_are_known_to_all.cpp
@@ -0,0 +1,67 @@
+/** \file
+ * Routers as processes: what a server's answer to one of them says of its leaving, all of them heed
+ * within a second or two, also one that starts later, while the store says nothing of it.
+ */
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "support/router_fleet.h"
+
+namespace {
+
+using namespace support;
+using namespace worksshift;
+using then = scripted_answer::then;
+
+class leaving_servers_are_known_to_all : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(leaving_servers_are_known_to_all);
+    CPPUNIT_TEST(by_one_answer);
+    CPPUNIT_TEST_SUITE_END();
+
+    /** Requests that the first server gets while all routers ask. */
+    static std::size_t first_gets(router_fleet& fleet)
+    {
+        const std::size_t before = fleet.servers.front()->requests.size();
+        for (std::size_t i = 0; i < 60; ++i) {
+            const std::string request = request_text("GET", "/safe/x", std::to_string(i));
+            CPPUNIT_ASSERT_EQUAL(200, status_in(fleet.ask(i % fleet.routers.size(), request)));
+        }
+        return fleet.servers.front()->requests.size() - before;
+    }
+
+public:
+    static void by_one_answer()
+    {
+        router_fleet fleet(4);
+        bool leaves = false;
+        const auto serve = [&leaves](const std::string& request) -> scripted_answer {
+            const std::string said = leaves ? "Server-Leaving: 1\r\n" : "";
+            return {answer_text(200, request, "x", said), then::keep};
+        };
+        fleet.set_config(example_config(1));
+        fleet.add_server("first", "desk", serve);
+        fleet.add_server("second", "desk", [](const std::string& request) -> scripted_answer {
+            return {answer_text(200, request, "x"), then::keep};
+        });
+        fleet.start_all();
+        CPPUNIT_ASSERT(fleet.all_ready());
+        CPPUNIT_ASSERT(first_gets(fleet) > 0);
+        fleet.store->fault = fakes::store_fault::silent;
+        leaves = true;
+        const std::size_t before = fleet.servers.front()->requests.size();
+        for (int i = 0; i < 100 && fleet.servers.front()->requests.size() == before; ++i)
+            fleet.ask(0, request_text("GET", "/safe/x", "once"));
+        CPPUNIT_ASSERT(fleet.servers.front()->requests.size() > before);
+        fleet.run_until([] { return false; }, milliseconds(1500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, first_gets(fleet));
+        fleet.routers[2].signal(SIGKILL);
+        fleet.routers[2].wait();
+        fleet.start(2);
+        CPPUNIT_ASSERT(fleet.all_ready());
+        fleet.run_until([] { return false; }, seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, first_gets(fleet));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(leaving_servers_are_known_to_all);
+
+} // namespace
