A server that asks for rest with a 503 gets nothing of this VM in that time

What callers saw: engines that had asked for 3 s of rest got 5 requests of one VM in it; requests tried four engines in 10 ms, all of which turned them away, and then were told 503 with a time that nobody had named.

Cause: Retry-After of a server's 503 was not decoded; a refusal said nothing of the next request.

Change: kept by life of the server until it is over, also across an entry that lapses; such a server is no candidate, counts for no free slots, and is no source of cached prompts. When all rest, the caller is told at once when the first one takes a request again.

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -26,7 +26,7 @@
     if (wanted.engine) wanted.engines = this->engines_for(wanted, now);
     const placed where = this->table.choose(wanted, now);
     if (where.row == nullptr) {
-        const std::optional<instant> opens = this->table.cold_opens_at(wanted, now);
+        const std::optional<instant> opens = this->table.opens_at(wanted, now);
         return no_server{opens ? std::max(*opens - now, duration::zero()) : duration::zero()};
     }
     if (!wanted.engine) return send_to{where};
--- a/src/protocol.h
+++ b/src/protocol.h
@@ -58,9 +58,14 @@
     std::optional<seconds> idle_timeout; ///< of the connection
     bool close = false;                  ///< the server closes the connection
     bool leaving = false;                ///< the server leaves, and should get nothing new
-    std::optional<std::uint32_t> load;   ///< requests that the server runs or queues
+    std::optional<duration>
+        retry_after;                   ///< until when the server wants nothing, if it is a refusal
+    std::optional<std::uint32_t> load; ///< requests that the server runs or queues
 };
 
+/** What a server asks for beyond this is cut to it: it is no time that anybody planned. */
+constexpr duration longest_retry_after = std::chrono::hours(1);
+
 /** How often a request may run. */
 enum class route_kind : std::uint8_t {
     idempotent,     ///< any number of times
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -275,7 +275,7 @@
     if (head.status == misdirected) {
         this->table.mark_replaced(item->row->record.id);
     } else {
-        this->heed(*item, facts);
+        this->heed(*item, head.status, facts);
     }
     item->events.resume();
     item->unusable = item->begun && !item->streaming;
@@ -283,7 +283,7 @@
 
 /** What the server says of itself goes before what the registry says, which may be held up while
  * the store is away: until that is heard, requests would go on to a server that is about to end. */
-void request_path::heed(const live_request& item, const answer_facts& facts)
+void request_path::heed(const live_request& item, int status, const answer_facts& facts)
 {
     server_entry& row = *item.row;
     if (facts.leaving && this->table.mark_leaving(row)) {
@@ -291,6 +291,13 @@
             log_level::info, "server_leaving",
             {{"server", row.record.id.text}, {"request", item.facts.id}, {"source", "its answer"}});
     }
+    if (status != unavailable || !facts.retry_after) return;
+    // It would turn away what comes before; others can serve, or the caller come back.
+    this->table.mark_resting(row, *facts.retry_after, item.last_byte);
+    log_event(log_level::info, "server_resting",
+              {{"server", row.record.id.text},
+               {"request", item.facts.id},
+               {"for_ms", in_ms(*facts.retry_after)}});
 }
 
 void request_path::take_body(std::uint64_t attempt, std::string_view bytes)
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -82,7 +82,7 @@
     void refuse(live_request& item, const come_back& answer);
     void send(live_request& item, const placed& where);
     void take_head(std::uint64_t attempt, const http_head& head, const answer_facts& facts);
-    void heed(const live_request& item, const answer_facts& facts);
+    void heed(const live_request& item, int status, const answer_facts& facts);
     void take_body(std::uint64_t attempt, std::string_view bytes);
     void take_end(const attempt_end& end);
     void note_outcome(const live_request& item, const attempt_end& end, instant time);
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -123,7 +123,7 @@
     this->path.tick(time);
     this->follow_store(time);
     this->start_serving();
-    this->servers.sweep();
+    this->servers.sweep(time);
     this->servers.expire_stated(time);
     this->servers.mark_slow(time);
     this->servers.sum_loads(time);
--- a/src/server_entry.h
+++ b/src/server_entry.h
@@ -43,6 +43,7 @@
     bool gone = false;     ///< not in the registry any more; kept until idle
     bool replaced = false; ///< another server answered at its address
     bool leaving = false;  ///< by its own answers, to this VM or another
+    instant rests_until{}; ///< it turned this VM away, and wants nothing of it so long
 
     instant heard_at{};    ///< a byte of an answer came
     instant waited_from{}; ///< attempts are under way without a pause since
@@ -86,6 +87,7 @@
         this->in_flight_when_stated = this->in_flight;
         this->stated_is_fresh = true;
     }
+    [[nodiscard]] bool rests(instant now) const { return now < this->rests_until; }
     /** Left alone, as it fails, unless it is for this VM to try it. */
     [[nodiscard]] bool avoided(instant now) const
     {
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -158,7 +158,7 @@
 /** Whether the server bears one more request of this VM now. */
 bool server_table::is_open(const service_state& group, const server_entry& row, instant now) const
 {
-    return !group.traits.limits_cold() || row.cold.open(now);
+    return !row.rests(now) && (!group.traits.limits_cold() || row.cold.open(now));
 }
 
 bool server_table::is_allowed(const server_entry& row, const placing& wanted)
@@ -175,14 +175,17 @@
            std::ranges::find(wanted.tried, row.record.id) == wanted.tried.end();
 }
 
-std::optional<instant> server_table::cold_opens_at(const placing& wanted, instant now) const
+std::optional<instant> server_table::opens_at(const placing& wanted, instant now) const
 {
     const auto group = this->services.find(wanted.service);
     if (group == this->services.end()) return std::nullopt;
     std::optional<instant> first;
     for (const server_entry* row : group->second.rows) {
-        if (!may_serve(*row, wanted) || this->is_open(group->second, *row, now)) continue;
-        const instant at = row->cold.opens_at();
+        // Who comes back may be sent to where this request has been.
+        if (!row->takes_work() || !is_allowed(*row, wanted)) continue;
+        if (this->is_open(group->second, *row, now)) continue;
+        const bool cold = group->second.traits.limits_cold() && !row->cold.open(now);
+        const instant at = std::max(row->rests_until, cold ? row->cold.opens_at() : instant{});
         if (!first || at < *first) first = at;
     }
     return first;
@@ -216,6 +219,7 @@
     row.hash = record.id.hash();
     row.life = life_of(record);
     row.leaving = this->words.leaving(row.life);
+    row.rests_until = this->words.rests_until(row.life);
     row.outcomes.set_fade(fade_of(this->services[record.service].traits));
     row.evacuated = this->evacuated.contains(short_hash(record.data_centre));
     const auto region = this->regions.find(record.data_centre);
@@ -267,6 +271,12 @@
     return this->words.note_leaving(row.life);
 }
 
+void server_table::mark_resting(server_entry& row, duration span, instant now)
+{
+    this->words.note_rest(row.life, now + span);
+    row.rests_until = this->words.rests_until(row.life);
+}
+
 bool server_table::mark_leaving(server_life life)
 {
     server_entry* row = this->find(life);
@@ -284,8 +294,9 @@
     return lives;
 }
 
-void server_table::sweep()
+void server_table::sweep(instant now)
 {
+    this->words.forget(now);
     for (auto& [service, group] : this->services) {
         std::erase_if(group.rows, [](const server_entry* row) { return row->over(); });
     }
@@ -308,7 +319,7 @@
         group.sum.span_s = as_seconds(group.forecast.span());
         for (const server_entry* row : group.rows) {
             if (!row->takes_work() || !row->health.usable(now) || row->quiet(now)) continue;
-            if (row->failing) continue;
+            if (row->failing || row->rests(now)) continue;
             if (group.traits.limits_cold() && row->cold.cold(now)) continue;
             ++group.sum.engines;
             group.sum.slots += row->record.slots;
@@ -627,7 +638,8 @@
     std::uint64_t best_weight = 0;
     for (const server_entry* row : group->second.rows) {
         const bool sound = !row->gone && !row->replaced && row->health.usable(now) &&
-                           !row->quiet(now) && !row->cold.cold(now) && is_allowed(*row, wanted);
+                           !row->quiet(now) && !row->cold.cold(now) && !row->rests(now) &&
+                           is_allowed(*row, wanted);
         if (row == &chosen || !sound) continue;
         const std::uint64_t weight = rendezvous_weight(wanted.affinity, row->hash);
         if (best != nullptr && weight <= best_weight) continue;
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -97,6 +97,8 @@
     /** Servers that leave by their own word while the registry lists them as ready: lives of the
      * first so many. */
     [[nodiscard]] std::vector<std::uint32_t> leaving_early(std::size_t count) const;
+    /** The server turned a request of this VM away, and wants nothing of it for so long. */
+    void mark_resting(server_entry& row, duration span, instant now);
     /** A connection to the server was refused or timed out: it may be about to start again. */
     void mark_unreachable(server_entry& row, instant now);
     /** The data centres, by the low half of their names' hashes, whose servers take no requests. */
@@ -111,8 +113,8 @@
     /** Works out what this VM may send to each cold server; once a tick. */
     void share_cold(const fleet_members& members, instant now);
     [[nodiscard]] std::size_t cold_servers(instant now) const;
-    /** When a server that is cold takes a request of this VM; nothing: none is. */
-    [[nodiscard]] std::optional<instant> cold_opens_at(const placing& wanted, instant now) const;
+    /** When a server that is cold or rests takes a request of this VM; nothing: none is or does. */
+    [[nodiscard]] std::optional<instant> opens_at(const placing& wanted, instant now) const;
     [[nodiscard]] server_entry* find(const server_id& id);
     /** nullptr when another life of the server is known, or none. */
     [[nodiscard]] server_entry* find(server_life life);
@@ -150,8 +152,8 @@
     void expire_stated(instant now);
     /** Compares the engines' recent delays; once a tick. */
     void mark_slow(instant now);
-    /** Frees rows that are gone and idle. */
-    void sweep();
+    /** Frees rows that are gone and idle, and forgets rests that are over. */
+    void sweep(instant now = {});
 
     /** When the loads of the other VMs were last added up. */
     instant peers_summed_at{};
--- a/src/server_words.h
+++ b/src/server_words.h
@@ -4,8 +4,10 @@
  */
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <deque>
+#include <unordered_map>
 #include <unordered_set>
 
 #include "crash_suspects.h"
@@ -35,9 +37,28 @@
         return this->leaving_lives.contains(server);
     }
 
+    /** The server wants nothing of this VM until then. */
+    void note_rest(server_life server, instant until)
+    {
+        instant& known = this->rests[server];
+        known = std::max(known, until);
+    }
+    /** The epoch: it did not ask for rest. */
+    [[nodiscard]] instant rests_until(server_life server) const
+    {
+        const auto found = this->rests.find(server);
+        return found == this->rests.end() ? instant{} : found->second;
+    }
+    /** Drops rests that are over. */
+    void forget(instant now)
+    {
+        std::erase_if(this->rests, [now](const auto& entry) { return entry.second <= now; });
+    }
+
 private:
     std::unordered_set<server_life> leaving_lives;
     std::deque<server_life> in_order;
+    std::unordered_map<server_life, instant> rests;
 };
 
 } // namespace worksshift
--- a/test/error/servers_that_leave_or_ask_for_rest.cpp
+++ b/test/error/servers_that_leave_or_ask_for_rest.cpp
@@ -5,7 +5,10 @@
  *
  * What was seen: requests reached an engine two seconds after its answers had said that it leaves,
  * as its word in the registry was held up for twelve seconds while the store was away; and engines
- * that had asked for three seconds of rest got five requests of one VM in that time.
+ * that had asked for three seconds of rest got five requests of one VM in that time. Cause: neither
+ * header was decoded, so only the registry and the failures of attempts moved a server out of use,
+ * and a refusal says nothing of the next request. Proof: without the headers decoded seven of these
+ * cases fail.
  */
 #include <algorithm>
 #include <array>
@@ -128,7 +131,7 @@
         server_record record = this->rig->table.find(server_id{"first"})->record;
         record.born_ms = born_ms;
         this->rig->table.remove(record.id);
-        this->rig->table.sweep();
+        this->rig->table.sweep(std::chrono::steady_clock::now());
         this->rig->table.put(record, std::chrono::steady_clock::now());
     }
 
