A VM that was suspended takes the time for gone: deadlines move up, idle connections are closed

Cause: the steady clock stands still while a VM is suspended, so a request that waited seconds went on with the time that its caller had before, and a connection that its server had closed meanwhile looked fresh enough for a request that must not run twice. Change: each tick compares it with the clock that counts on. Readings that the process was held up between are passed over.

--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -616,6 +616,15 @@
     this->answer_own(item, gateway_timeout, "deadline passed");
 }
 
+/** Callers have waited meanwhile, and servers must not be told more time than is left. */
+void request_path::on_suspended(duration span)
+{
+    for (const auto& [id, item] : this->requests) {
+        item->arrived -= span;
+        item->deadline -= span;
+    }
+}
+
 void request_path::tick(instant time)
 {
     for (const std::uint64_t id : this->over)
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -58,6 +58,8 @@
     void set_budget(const fleet_retry_settings& settings) { this->budget_settings = settings; }
     void set_fleet_size(std::size_t vms) { this->vms = std::max(this->vms, vms); }
 
+    /** The VM was suspended for so long, which the clock that deadlines go by did not count. */
+    void on_suspended(duration span);
     /** Ends what ran out of time, and moves repeatable requests away from silent servers. */
     void tick(instant now);
     [[nodiscard]] admission& admissions() { return this->admitting; }
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -116,6 +116,7 @@
 
 void router::tick()
 {
+    this->check_suspension();
     const instant time = now();
     this->caller.sweep();
     this->callers.sweep(time);
@@ -136,6 +137,18 @@
     flush_log();
 }
 
+void router::check_suspension()
+{
+    const std::optional<clock_pair> read = read_clocks();
+    if (!read) return;
+    const duration span = this->suspensions.update(*read);
+    if (span == duration::zero()) return;
+    log_event(log_level::warn, "resumed",
+              {{"suspended_ms", span / milliseconds(1)}, {"requests", this->path.active()}});
+    this->path.on_suspended(span);
+    this->links.forget_all();
+}
+
 void router::connect_signals()
 {
     this->path.makes_trials = [this](content_key content) {
--- a/src/router.h
+++ b/src/router.h
@@ -18,6 +18,7 @@
 #include "router_settings.h"
 #include "server_links.h"
 #include "server_table.h"
+#include "suspension.h"
 #include "watch_duty.h"
 
 namespace worksshift {
@@ -42,6 +43,7 @@
     void connect_signals();
     void apply_placement();
     void start_serving();
+    void check_suspension();
     void follow_store(instant now);
     void take_peer_loads(instant now);
     void divide_work(instant now);
@@ -82,6 +84,7 @@
     signal_watch on_int;
     signal_watch on_hup;
 
+    suspension_watch suspensions;
     bool loads_changed = false; ///< a digest came since the loads were added up
     instant summed_at{};
     instant divided_at{};
--- a/src/server_links.cpp
+++ b/src/server_links.cpp
@@ -300,4 +300,13 @@
     this->idle.erase(server);
 }
 
+void server_links::forget_all()
+{
+    std::vector<server_id> servers(this->idle.size());
+    std::ranges::transform(this->idle, servers.begin(),
+                           [](const auto& entry) { return entry.first; });
+    for (const server_id& server : servers)
+        this->forget(server);
+}
+
 } // namespace worksshift
--- a/src/server_links.h
+++ b/src/server_links.h
@@ -77,6 +77,8 @@
     void sweep(instant now);
     /** Closes the idle connections to a server that is gone. */
     void forget(const server_id& server);
+    /** Closes all idle connections: how long they have been idle is not known any more. */
+    void forget_all();
 
     [[nodiscard]] std::size_t active() const { return this->attempts.size(); }
     [[nodiscard]] std::uint64_t opened() const { return this->connections_opened; }
--- /dev/null
+++ b/test/error/suspended_vms.cpp
@@ -0,0 +1,117 @@
+/** \file
+ * A VM that was suspended: callers' deadlines go on while the steady clock stands still, and
+ * connections that were idle before are not used any more.
+ */
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "support/path_rig.h"
+#include "suspension.h"
+
+namespace {
+
+using namespace support;
+using namespace worksshift;
+using then = scripted_answer::then;
+
+class suspended_vms : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(suspended_vms);
+    CPPUNIT_TEST(are_noticed_once);
+    CPPUNIT_TEST(clocks_agree_here);
+    CPPUNIT_TEST(callers_are_told_at_once);
+    CPPUNIT_TEST(what_goes_on_has_less_time);
+    CPPUNIT_TEST(idle_connections_are_closed);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::unique_ptr<path_rig> rig;
+
+    raw_caller& ask(const std::string& method, const std::string& target)
+    {
+        raw_caller& caller = this->rig->add_caller();
+        caller.send(request_text(method, target, "1", method == "POST" ? "x" : ""));
+        return caller;
+    }
+
+public:
+    void setUp() override
+    {
+        this->rig = std::make_unique<path_rig>();
+        this->rig->path->set_config(this->rig->dialect.decode_config(example_config(1)));
+    }
+
+    static void are_noticed_once()
+    {
+        suspension_watch watch;
+        CPPUNIT_ASSERT(watch.update({seconds(5), seconds(105)}) == duration::zero());
+        CPPUNIT_ASSERT(watch.update({seconds(6), seconds(106)}) == duration::zero());
+        CPPUNIT_ASSERT(watch.update({seconds(7), seconds(110)}) == seconds(3));
+        CPPUNIT_ASSERT(watch.update({seconds(8), seconds(111)}) == duration::zero());
+        CPPUNIT_ASSERT(watch.update({seconds(9), seconds(112) + milliseconds(20)}) ==
+                       duration::zero());
+        CPPUNIT_ASSERT(watch.update({seconds(10), seconds(100)}) == duration::zero());
+        CPPUNIT_ASSERT(watch.update({seconds(10), seconds(114)}) == seconds(1));
+    }
+
+    static void clocks_agree_here()
+    {
+        suspension_watch watch;
+        for (int i = 0; i < 1000; ++i) {
+            const auto read = read_clocks();
+            if (read) CPPUNIT_ASSERT(watch.update(*read) == duration::zero());
+        }
+    }
+
+    void callers_are_told_at_once()
+    {
+        const scripted_server& server =
+            this->rig->add_server("a", "desk", [](const std::string&) -> scripted_answer {
+                return {{}, then::stay_silent};
+            });
+        const raw_caller& caller = this->ask("POST", "/unsafe/x");
+        CPPUNIT_ASSERT(this->rig->run_until([&] { return server.requests.size() == 1; }));
+        const instant begin = std::chrono::steady_clock::now();
+        this->rig->path->on_suspended(seconds(3));
+        CPPUNIT_ASSERT(this->rig->run_until([&] { return !caller.received.empty(); }));
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < milliseconds(500));
+        CPPUNIT_ASSERT(caller.received.starts_with("HTTP/1.1 504"));
+    }
+
+    /** A second server is told what the caller has left. */
+    void what_goes_on_has_less_time()
+    {
+        bool broken = false;
+        const auto serve = [&](const std::string& request) -> scripted_answer {
+            if (std::exchange(broken, true)) return {answer_text(200, request, "x"), then::keep};
+            this->rig->path->on_suspended(milliseconds(800));
+            return {{}, then::reset};
+        };
+        this->rig->add_server("a", "desk", serve);
+        this->rig->add_server("b", "desk", serve);
+        const raw_caller& caller = this->ask("GET", "/safe/x");
+        CPPUNIT_ASSERT(this->rig->run_until([&] { return !caller.received.empty(); }));
+        CPPUNIT_ASSERT(caller.received.starts_with("HTTP/1.1 200"));
+        int least = 10000;
+        for (const scripted_server* server : this->rig->all_servers()) {
+            for (const std::string& request : server->requests)
+                least = std::min(least, std::stoi(header_in(request, "x-deadline-ms")));
+        }
+        CPPUNIT_ASSERT(least <= 700);
+    }
+
+    void idle_connections_are_closed()
+    {
+        const scripted_server& server =
+            this->rig->add_server("a", "desk", [](const std::string& request) -> scripted_answer {
+                return {answer_text(200, request, "x"), then::keep};
+            });
+        for (std::size_t asked = 1; asked <= 3; ++asked) {
+            const raw_caller& caller = this->ask("GET", "/safe/x");
+            CPPUNIT_ASSERT(this->rig->run_until([&] { return !caller.received.empty(); }));
+            CPPUNIT_ASSERT_EQUAL(asked < 3 ? std::size_t{1} : std::size_t{2}, server.connections);
+            if (asked == 2) this->rig->links->forget_all();
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(suspended_vms);
+
+} // namespace
