--- a/src/server_links.cpp
+++ b/src/server_links.cpp
@@ -97,9 +97,10 @@
 
 void server_links::end_check(link& item, bool listens)
 {
-    const std::uint32_t check = *std::exchange(item.check, std::nullopt);
-    this->checks.erase(check);
-    this->on_checked.emit(check, listens);
+    const std::optional<std::uint32_t> check = std::exchange(item.check, std::nullopt);
+    if (!check) return;
+    this->checks.erase(*check);
+    this->on_checked.emit(*check, listens);
 }
 
 server_links::link_ptr server_links::connect(const server_id& server, const link_address& address)
@@ -237,13 +238,12 @@
 {
     const std::uint64_t attempt = std::exchange(item->attempt, 0);
     const bool sent = item->connected;
-    const link_ptr kept = item;
-    this->drop(*kept);
-    if (kept->check) this->end_check(*kept, false);
+    this->drop(*item);
+    this->end_check(*item, false);
     if (attempt == 0) return;
     this->attempts.erase(attempt);
     this->on_end.emit({attempt, sent ? send_result::broken : send_result::not_sent, step,
-                       std::move(detail), sent && kept->peer_closed});
+                       std::move(detail), sent && item->peer_closed});
 }
 
 void server_links::drop(link& item)
--- a/test/fuzz/crash_reports_reach_every_vm.cpp
+++ b/test/fuzz/crash_reports_reach_every_vm.cpp
@@ -238,7 +238,9 @@
         std::uint64_t contents = 1000;
         for (std::size_t i = 0; i < 400; ++i) {
             std::vector<content_key> under_way;
-            for (int k = 0; k < 64; ++k)
+            constexpr int slots = 64;
+            under_way.reserve(slots);
+            for (int k = 0; k < slots; ++k)
                 under_way.push_back(content_key{++contents});
             fleet.end_server(i % 7, under_way);
             fleet.fleet.run(milliseconds(10));
