--- a/test/fuzz/requests_keep_promises.cpp
+++ b/test/fuzz/requests_keep_promises.cpp
@@ -273,11 +273,15 @@
             system_under_test system(*rc::gen::arbitrary<bool>());
             core_request request;
             request.chat = 1;
+            request.idempotent = false;
             request.cost = 20;
             request.deadline = seconds(20);
             system.fleet.pause(0, seconds(30));
+            system.fleet.run_for(milliseconds(50));
             system.fleet.submit(0, request);
+            system.fleet.run_for(milliseconds(30));
             system.fleet.leave(0);
+            system.fleet.run_for(milliseconds(50));
             system.fleet.hang_up(0);
             check_all_ended(system);
         }));
