--- a/src/crash_suspects.cpp
+++ b/src/crash_suspects.cpp
@@ -37,7 +37,7 @@
 
 void crash_suspects::on_broken(content_key content, server_life server, instant now)
 {
-    if (this->unchecked.size() < untold_reports_at_most) {
+    if (this->unchecked.size() < reports_waiting_at_most) {
         this->unchecked.push_back({content, server, now});
     }
 }
@@ -91,36 +91,41 @@
 
 /** Ends of servers under the content, those included that are not known for certain yet: the VM
  * that saw them need not wait before it stops. */
-std::size_t crash_suspects::ends_with_unchecked(content_key content, const suspect* found) const
+std::size_t crash_suspects::ends_with_unchecked(content_key content) const
 {
     std::set<server_life> ends;
-    if (found != nullptr) ends = found->ends;
+    const auto found = this->suspects.find(content);
+    if (found != this->suspects.end()) ends = found->second.ends;
     for (const broken_attempt& item : this->unchecked) {
         if (item.content == content) ends.insert(item.server);
     }
     return ends.size();
 }
 
-std::optional<block> crash_suspects::blocked(content_key content, bool for_trials, instant now)
+std::optional<block> crash_suspects::blocked(content_key content, instant now) const
 {
     if (this->suspects.empty() && this->unchecked.empty()) return std::nullopt;
     const auto found = this->suspects.find(content);
-    suspect* item = found == this->suspects.end() ? nullptr : &found->second;
-    const std::size_t ends = this->ends_with_unchecked(content, item);
-    if (item == nullptr || !item->is_blocked) {
-        if (ends < ends_until_blocked) return std::nullopt;
-        return block{{}, ends};
+    if (found == this->suspects.end() || !found->second.is_blocked) {
+        const bool enough = this->ends_with_unchecked(content) >= ends_until_blocked;
+        return enough ? std::optional(block{}) : std::nullopt;
     }
-    const duration pause = pause_before_trial(item->trials);
-    const duration left = item->changed + pause - now;
-    if (!for_trials || left > duration::zero()) return block{std::max(left, pause / 2), ends};
-    // It counts as tried in vain until a server answers it.
-    item->changed = now;
-    if (item->trials < std::numeric_limits<std::uint8_t>::max()) ++item->trials;
+    const duration pause = pause_before_trial(found->second.trials);
+    const duration left = found->second.changed + pause - now;
+    if (left > duration::zero()) return block{left, false};
+    // Unless this VM makes the trial: the one that does may get no such request for a while.
+    return block{pause / 2, true};
+}
+
+void crash_suspects::begin_trial(content_key content, instant now)
+{
+    suspect& item = this->suspects[content];
+    item.changed = now;
+    if (item.trials < std::numeric_limits<std::uint8_t>::max()) ++item.trials;
     this->urgent = true;
-    log_event(log_level::info, "request_tried",
-              {{"content", to_text(content)}, {"ends", ends}, {"trial", int{item->trials}}});
-    return std::nullopt;
+    log_event(
+        log_level::info, "request_tried",
+        {{"content", to_text(content)}, {"ends", item.ends.size()}, {"trial", int{item.trials}}});
 }
 
 bool crash_suspects::add(const crash_report& report, instant now)
@@ -131,10 +136,25 @@
     suspect& found = this->suspects[key_of(report)];
     if (found.settled.contains(server) || !found.ends.insert(server).second) return false;
     found.changed = now;
+    if (found.is_blocked) this->explain({server});
     if (found.ends.size() >= ends_until_urgent) this->urgent = true;
     return true;
 }
 
+/** A blocked content was under way at these ends of servers, so they say nothing of others. */
+void crash_suspects::explain(const std::set<server_life>& ends)
+{
+    for (auto& [content, item] : this->suspects) {
+        if (item.is_blocked) continue;
+        std::erase_if(item.ends, [&ends](server_life each) { return ends.contains(each); });
+    }
+    this->explained.insert(this->explained.end(), ends.begin(), ends.end());
+    if (this->explained.size() <= explained_at_most) return;
+    const auto surplus = this->explained.size() - explained_at_most;
+    this->explained.erase(this->explained.begin(),
+                          this->explained.begin() + static_cast<std::ptrdiff_t>(surplus));
+}
+
 /** Blocks the contents under which the most servers ended, which explains these ends; then looks
  * again at what is left of the others. */
 void crash_suspects::judge(instant now)
@@ -151,16 +171,7 @@
             this->convict(content, item, now);
             ends.insert(item.ends.begin(), item.ends.end());
         }
-        for (auto& [content, item] : this->suspects) {
-            if (item.is_blocked) continue;
-            std::erase_if(item.ends, [&ends](server_life each) { return ends.contains(each); });
-        }
-        this->explained.insert(this->explained.end(), ends.begin(), ends.end());
-        if (this->explained.size() > explained_at_most) {
-            const auto surplus = this->explained.size() - explained_at_most;
-            this->explained.erase(this->explained.begin(),
-                                  this->explained.begin() + static_cast<std::ptrdiff_t>(surplus));
-        }
+        this->explain(ends);
     }
 }
 
@@ -230,7 +241,7 @@
 
 void crash_suspects::queue(std::vector<told_report>& to, const crash_report& report)
 {
-    if (to.size() < untold_reports_at_most) to.push_back({report, report_tellings});
+    if (to.size() < reports_waiting_at_most) to.push_back({report, report_tellings});
 }
 
 std::size_t crash_suspects::ends_of(content_key content) const
--- a/src/crash_suspects.h
+++ b/src/crash_suspects.h
@@ -42,16 +42,17 @@
 constexpr std::size_t settled_at_most = 64;
 /** Each report is told in so many rounds, as datagrams get lost. */
 constexpr unsigned report_tellings = 3;
-/** Reports that wait to be told; further ones are left out. */
-constexpr std::size_t untold_reports_at_most = 256;
+/** Reports that wait to be told, and attempts whose servers are to be checked; further ones are
+ * left out. */
+constexpr std::size_t reports_waiting_at_most = 256;
 
 /** One life of a server. A server that starts again under its id has another. */
 enum class server_life : std::uint32_t {};
 
-/** What is known of one content, as log lines and status need it. */
+/** Why a content is not sent. */
 struct block {
     duration until_trial{}; ///< until a VM may try it again; zero: not decided yet
-    std::size_t ends = 0;   ///< of servers under it, as far as known here
+    bool trial_due = false; ///< the VM that makes the fleet's trials may send it once
 };
 
 class crash_suspects {
@@ -64,8 +65,10 @@
     /** A server ran the content and gave an answer of its own. */
     void on_answered(content_key content, instant now);
 
-    /** Nothing: the content may be sent. \p for_trials: this VM makes the fleet's trials. */
-    std::optional<block> blocked(content_key content, bool for_trials, instant now);
+    /** Nothing: the content may be sent. */
+    [[nodiscard]] std::optional<block> blocked(content_key content, instant now) const;
+    /** The content, which is blocked, is sent once. It counts as in vain until a server answers. */
+    void begin_trial(content_key content, instant now);
 
     /** \p near: the sender is of this VM's data centre. Returns whether it told something new that
      * others should hear soon. */
@@ -104,13 +107,14 @@
     bool add(const crash_report& report, instant now);
     void judge(instant now);
     void convict(content_key content, suspect& found, instant now);
+    void explain(const std::set<server_life>& ends);
     void clear(suspect& found, instant now);
     void make_room();
     bool take_blocked(const blocked_content& told, instant now);
     void queue(std::vector<told_report>& to, const crash_report& report);
     std::vector<crash_report> next_reports(std::vector<told_report>& from) const;
     [[nodiscard]] std::size_t ends_of(content_key content) const;
-    [[nodiscard]] std::size_t ends_with_unchecked(content_key content, const suspect* found) const;
+    [[nodiscard]] std::size_t ends_with_unchecked(content_key content) const;
 
     std::map<content_key, suspect> suspects;
     std::vector<broken_attempt> unchecked;
--- a/src/protocol.h
+++ b/src/protocol.h
@@ -58,8 +58,8 @@
     std::optional<seconds> idle_timeout; ///< of the connection
     bool close = false;                  ///< the server closes the connection
     bool leaving = false;                ///< the server leaves, and should get nothing new
-    std::optional<duration>
-        retry_after;                   ///< until when the server wants nothing, if it is a refusal
+    /** With a refusal: the server wants nothing for so long. */
+    std::optional<duration> retry_after;
     std::optional<std::uint32_t> load; ///< requests that the server runs or queues
 };
 
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -68,9 +68,8 @@
     servers.on_body.connect(
         [this](std::uint64_t attempt, std::string_view bytes) { this->take_body(attempt, bytes); });
     servers.on_end.connect([this](const attempt_end& end) { this->take_end(end); });
-    servers.on_checked.connect([this](std::uint32_t server, bool listens) {
-        this->take_check(server_life{server}, listens);
-    });
+    servers.on_checked.connect(
+        [this](std::uint32_t server, bool ended) { this->take_check(server_life{server}, ended); });
 }
 
 request_path::~request_path() = default;
@@ -161,12 +160,16 @@
  * that is under way there. Its caller is told at once. */
 bool request_path::is_blocked(live_request& item)
 {
-    const bool for_trials = this->makes_trials(item.content);
-    const std::optional<block> found = this->harmful.blocked(item.content, for_trials, now());
+    const instant time = now();
+    const std::optional<block> found = this->harmful.blocked(item.content, time);
     if (!found) return false;
+    if (found->trial_due && this->makes_trials(item.content)) {
+        this->harmful.begin_trial(item.content, time);
+        return false;
+    }
     this->numbers.count("worksshift_blocked_total");
     item.come_back_in = found->until_trial;
-    this->fail(item, "blocked", std::to_string(found->ends) + " servers ended under it");
+    this->fail(item, "blocked", "servers ended under it");
     return true;
 }
 
@@ -415,17 +418,16 @@
 }
 
 /** A server that nobody listens for has ended, and is left alone at once. */
-void request_path::take_check(server_life life, bool listens)
+void request_path::take_check(server_life life, bool ended)
 {
     const instant time = now();
-    this->harmful.on_checked(life, !listens, time);
+    this->harmful.on_checked(life, ended, time);
     server_entry* row = this->table.find(life);
     if (row == nullptr) return;
-    log_event(log_level::info, "server_checked",
-              {{"server", row->record.id.text},
-               {"listens", listens ? 1 : 0},
-               {"in_flight", row->in_flight}});
-    if (listens) return;
+    log_event(
+        log_level::info, "server_checked",
+        {{"server", row->record.id.text}, {"ended", ended ? 1 : 0}, {"in_flight", row->in_flight}});
+    if (!ended) return;
     row->health.on_unreachable(time);
     this->table.mark_unreachable(*row, time);
 }
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -80,7 +80,7 @@
     [[nodiscard]] bool is_blocked(live_request& item);
     void note_broken(const live_request& item, const server_record& server, const attempt_end& end,
                      instant time);
-    void take_check(server_life server, bool listens);
+    void take_check(server_life server, bool ended);
     void refuse(live_request& item, const come_back& answer);
     void send(live_request& item, const placed& where);
     void take_head(std::uint64_t attempt, const http_head& head, const answer_facts& facts);
--- a/src/server_links.cpp
+++ b/src/server_links.cpp
@@ -37,6 +37,7 @@
     bool skipping = false; ///< a late answer to an earlier request is being passed over
     bool close_after = false;
     bool peer_closed = false;
+    bool refused = false; ///< the connection
     bool over = false;
     instant since{}; ///< of the connection's start, or of the last answer's end
     duration keep = idle_at_most;
@@ -95,12 +96,12 @@
     this->checks[check] = item;
 }
 
-void server_links::end_check(link& item, bool listens)
+void server_links::end_check(link& item, bool ended)
 {
     const std::optional<std::uint32_t> check = std::exchange(item.check, std::nullopt);
     if (!check) return;
     this->checks.erase(*check);
-    this->on_checked.emit(*check, listens);
+    this->on_checked.emit(*check, ended);
 }
 
 server_links::link_ptr server_links::connect(const server_id& server, const link_address& address)
@@ -163,7 +164,7 @@
         if (item->check) {
             item->since = now();
             this->idle[item->server].push_back(item);
-            this->end_check(*item, true);
+            this->end_check(*item, false);
         }
         return;
     }
@@ -176,6 +177,7 @@
     }
     const int error = EVUTIL_SOCKET_ERROR();
     item->peer_closed = clean || error == ECONNRESET || error == EPIPE;
+    item->refused = error == ECONNREFUSED;
     this->fail(item, item->connected ? "read" : "connect", clean ? "closed" : std::strerror(error));
 }
 
@@ -239,7 +241,7 @@
     const std::uint64_t attempt = std::exchange(item->attempt, 0);
     const bool sent = item->connected;
     this->drop(*item);
-    this->end_check(*item, false);
+    this->end_check(*item, item->refused);
     if (attempt == 0) return;
     this->attempts.erase(attempt);
     this->on_end.emit({attempt, sent ? send_result::broken : send_result::not_sent, step,
--- a/src/server_links.h
+++ b/src/server_links.h
@@ -69,9 +69,9 @@
     void start(const attempt_order& order);
     /** Closes the attempt's connection, so that the server stops. No signal follows. */
     void cancel(std::uint64_t attempt);
-    /** Finds out whether a process still listens at the server's address, by a connection on which
-     * nothing is sent; one that is established is kept for later requests. `on_checked` follows.
-     * \p check: what the result is told by; of several with the same one is made. */
+    /** Finds out whether the server has ended, by a connection on which nothing is sent; one that
+     * is established is kept for later requests. `on_checked` follows. \p check: what the result is
+     * told by; of several with the same one is made. */
     void check(std::uint32_t check, const server_id& server, const link_address& address);
     /** Ends attempts that got no connection in time and closes idle connections. */
     void sweep(instant now);
@@ -86,7 +86,8 @@
     sigc::signal<void(std::uint64_t, const http_head&, const answer_facts&)> on_head;
     sigc::signal<void(std::uint64_t, std::string_view)> on_body;
     sigc::signal<void(const attempt_end&)> on_end;
-    /** Whether the server of a check listens. */
+    /** Whether the server of a check has ended: its host refused the connection. One that does not
+     * answer may be busy, or out of reach. */
     sigc::signal<void(std::uint32_t, bool)> on_checked;
 
 private:
@@ -95,7 +96,7 @@
 
     link_ptr take_idle(const attempt_order& order);
     link_ptr connect(const server_id& server, const link_address& address);
-    void end_check(link& item, bool listens);
+    void end_check(link& item, bool ended);
     void send(link& item, const attempt_order& order);
     void take_head(link& item, const http_head& head);
     void read(const link_ptr& item);
--- a/test/fuzz/crash_reports_reach_every_vm.cpp
+++ b/test/fuzz/crash_reports_reach_every_vm.cpp
@@ -50,7 +50,7 @@
     /** A request comes to a VM, which sends it unless it is blocked. Returns whether it did. */
     bool ask(std::size_t vm, content_key content, bool ends)
     {
-        if (this->known[vm].blocked(content, false, this->fleet.now)) return false;
+        if (this->known[vm].blocked(content, this->fleet.now)) return false;
         ++this->sends;
         this->end_server(vm, {&content, 1}, ends);
         return true;
@@ -84,7 +84,7 @@
     [[nodiscard]] std::size_t blocked_at(content_key content)
     {
         return static_cast<std::size_t>(std::ranges::count_if(this->fleet.vms, [&](auto& entry) {
-            return this->known[entry.first].blocked(content, false, this->fleet.now).has_value();
+            return this->known[entry.first].blocked(content, this->fleet.now).has_value();
         }));
     }
 
@@ -213,20 +213,27 @@
     static void one_vm_tries_again()
     {
         suspect_fleet fleet(7, 3);
+        const auto trial_due = [&fleet](std::size_t vm) {
+            const std::optional<block> found = fleet.known[vm].blocked(harmful, fleet.fleet.now);
+            CPPUNIT_ASSERT(found);
+            CPPUNIT_ASSERT(found->until_trial > duration::zero());
+            return found->trial_due;
+        };
         fleet.ask_harmful(10, seconds(2));
+        CPPUNIT_ASSERT(!trial_due(2));
         fleet.fleet.run(first_trial_after);
-        const instant now = fleet.fleet.now;
-        CPPUNIT_ASSERT(fleet.known[1].blocked(harmful, false, now));
-        CPPUNIT_ASSERT(!fleet.known[2].blocked(harmful, true, now));
+        CPPUNIT_ASSERT(trial_due(2));
         // Once, and not by another that has heard of it.
-        CPPUNIT_ASSERT(fleet.known[2].blocked(harmful, true, now));
+        fleet.known[2].begin_trial(harmful, fleet.fleet.now);
+        CPPUNIT_ASSERT(!trial_due(2));
         fleet.fleet.run(seconds(1));
-        CPPUNIT_ASSERT(fleet.known[3].blocked(harmful, true, fleet.fleet.now));
+        CPPUNIT_ASSERT(!trial_due(3));
         // The longer, the more often it was tried in vain.
         fleet.fleet.run(first_trial_after);
-        CPPUNIT_ASSERT(fleet.known[3].blocked(harmful, true, fleet.fleet.now));
+        CPPUNIT_ASSERT(!trial_due(3));
         fleet.fleet.run(first_trial_after);
-        CPPUNIT_ASSERT(!fleet.known[3].blocked(harmful, true, fleet.fleet.now));
+        CPPUNIT_ASSERT(trial_due(3));
+        fleet.known[3].begin_trial(harmful, fleet.fleet.now);
         fleet.known[3].on_answered(harmful, fleet.fleet.now);
         fleet.fleet.run(seconds(1));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.blocked_at(harmful));
@@ -270,7 +277,7 @@
         known.describe(own, now);
         CPPUNIT_ASSERT(own.blocked.size() <= blocked_contents_at_most);
         CPPUNIT_ASSERT(own.crash_reports.size() <= crash_reports_at_most);
-        CPPUNIT_ASSERT(!known.blocked(harmful, true, now));
+        CPPUNIT_ASSERT(!known.blocked(harmful, now));
     }
 };
 
