--- a/test/error/servers_that_leave_or_ask_for_rest.cpp
+++ b/test/error/servers_that_leave_or_ask_for_rest.cpp
@@ -113,6 +113,16 @@
         return this->asked(0) - before;
     }
 
+    /** The first server serves: nobody else can. A drawn choice among two may long pass over one
+     * whose only answer so far was slow. */
+    void check_first_serves()
+    {
+        this->rig->table.remove(server_id{"second"});
+        const std::size_t before = this->asked(0);
+        CPPUNIT_ASSERT_EQUAL(200, status_of(this->ask()));
+        CPPUNIT_ASSERT_EQUAL(before + 1, this->asked(0));
+    }
+
     void turn_away_for(const std::string& retry_after)
     {
         this->first_status = 503;
@@ -184,7 +194,7 @@
         this->ask_until_first_answers();
         this->serve_again();
         this->list_anew(5000);
-        CPPUNIT_ASSERT(this->first_gets() > 0);
+        this->check_first_serves();
     }
 
     void leaving_that_means_nothing()
@@ -193,7 +203,7 @@
             this->start("desk", true);
             this->first_says = std::string("Server-Leaving: ") + value + "\r\n";
             this->ask_until_first_answers();
-            CPPUNIT_ASSERT(this->first_gets() > 0);
+            this->check_first_serves();
         }
     }
 
@@ -205,12 +215,15 @@
         this->ask_until_first_answers();
         this->rig->run_for(milliseconds(500));
         const std::size_t before = this->asked(0);
-        while (std::chrono::steady_clock::now() - begin < milliseconds(1400))
+        // Paced, as each caller's connection stays open until the test ends.
+        while (std::chrono::steady_clock::now() - begin < milliseconds(1400)) {
             CPPUNIT_ASSERT_EQUAL(200, status_of(this->ask()));
+            this->rig->run_for(milliseconds(5));
+        }
         CPPUNIT_ASSERT(this->asked(0) - before <= late_at_most);
         this->serve_again();
         this->rig->run_for(milliseconds(300));
-        CPPUNIT_ASSERT(this->first_gets() > 0);
+        this->check_first_serves();
     }
 
     void rest_of_all_is_told_to_callers()
@@ -240,21 +253,19 @@
 
     void rest_that_means_nothing()
     {
-        for (const char* value :
-             {"-5", "nan", "inf", "abc", "", "0", "1e", "Wed, 21 Oct 2015 07:28:00 GMT"}) {
+        for (const char* value : {"-5", "-1e999", "1e-999", "nan", "inf", "abc", "", "0", "1e",
+                                  "Wed, 21 Oct 2015 07:28:00 GMT"}) {
             this->start("desk", true);
             this->turn_away_for(value);
             this->ask_until_first_answers();
             this->serve_again();
-            // A server that fails gets fewer requests, but does not rest.
-            for (std::size_t i = 0; i <= late_at_most; ++i)
-                this->ask_until_first_answers();
+            this->check_first_serves();
         }
     }
 
     void rest_without_end()
     {
-        for (const char* value : {"1e300", "99999999999999999999999999"}) {
+        for (const char* value : {"1e300", "1e999", "99999999999999999999999999"}) {
             this->start("desk", true);
             this->turn_away_for(value);
             this->ask_until_first_answers();
@@ -262,7 +273,7 @@
             // The server starts again, and takes requests again.
             this->serve_again();
             this->list_anew(7000);
-            CPPUNIT_ASSERT(this->first_gets() > 0);
+            this->check_first_serves();
         }
     }
 };
