Log lines say when a VM missed a server's entry, how long it is kept for what reason, and which answer of the store is its first

server_missing and server_removed carry the time since the store's return that the decision uses, store_regained whether it is the first answer since the process started. No logic changed; 11 tests of leaving servers pass.

--- a/src/server_registry.cpp
+++ b/src/server_registry.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <unordered_set>
+#include <utility>
+#include <vector>
 
 #include "errors.h"
 #include "log.h"
@@ -15,7 +17,7 @@
     for (const stored_object& item : all)
         names.insert(item.name);
     for (const auto& [id, row] : this->table.rows()) {
-        if (!names.contains(id.text) && !row.gone) this->missing.try_emplace(id, now);
+        if (!names.contains(id.text) && !row.gone) this->missing.try_emplace(id, missing_entry{now});
     }
     this->take_part(all, now);
 }
@@ -38,7 +40,7 @@
     if (!item.removed) {
         this->put(item, logging::each, now);
     } else if (!this->is_former(item)) {
-        this->missing.try_emplace(server_id{item.name}, now);
+        this->missing.try_emplace(server_id{item.name}, missing_entry{now});
     }
 }
 
@@ -93,7 +95,7 @@
 {
     const server_id id{item.name};
     const server_entry* row = this->table.find(id);
-    if (row != nullptr && !row->gone) this->missing.try_emplace(id, now);
+    if (row != nullptr && !row->gone) this->missing.try_emplace(id, missing_entry{now});
     ++this->unreadable_total;
     if (this->unreadable_now.count++ > 0) return;
     this->unreadable_now.first = item.name.substr(0, reason_at_most);
@@ -113,10 +115,11 @@
     this->unreadable_now = {};
 }
 
-void server_registry::remove(const server_id& id)
+void server_registry::remove(const server_id& id, duration kept)
 {
     if (!this->table.remove(id)) return;
-    log_event(log_level::info, "server_removed", {{"server", id.text}});
+    log_event(log_level::info, "server_removed",
+              {{"server", id.text}, {"kept_ms", kept / milliseconds(1)}});
     this->on_leaving.emit(id);
 }
 
@@ -136,18 +139,26 @@
 void server_registry::sweep(instant now, instant store_regained)
 {
     const instant back = store_regained + lapsed_kept_for;
-    std::vector<server_id> over;
-    for (const auto& [id, since] : this->missing) {
+    std::vector<std::pair<server_id, duration>> over;
+    for (auto& [id, entry] : this->missing) {
         const server_entry* row = this->table.find(id);
         const bool together = row != nullptr && this->lapsed_together(row->record.service);
-        const instant soon = since + leaving_kept_for;
+        const instant soon = entry.since + leaving_kept_for;
         // An outage that nobody noticed shows by entries that lapse together.
         const instant until = together ? std::max(back, soon) : std::min(back, soon);
-        if (now >= until) over.push_back(id);
+        if (now >= until) {
+            over.emplace_back(id, now - entry.since);
+        } else if (!std::exchange(entry.logged, true)) {
+            log_event(log_level::info, "server_missing",
+                      {{"server", id.text},
+                       {"together", together ? 1 : 0},
+                       {"store_back_ms", (now - store_regained) / milliseconds(1)},
+                       {"kept_ms", (until - entry.since) / milliseconds(1)}});
+        }
     }
-    for (const server_id& id : over) {
+    for (const auto& [id, kept] : over) {
         this->missing.erase(id);
-        this->remove(id);
+        this->remove(id, kept);
     }
     this->log_unreadable(now);
 }
--- a/src/server_registry.h
+++ b/src/server_registry.h
@@ -67,17 +67,23 @@
         std::string reason; ///< of the first
     };
 
+    /** A server that is not listed any more, and is not taken out yet. */
+    struct missing_entry {
+        instant since{};
+        bool logged = false;
+    };
+
     /** Returns whether anything changed. */
     bool put(const stored_object& item, logging told, instant now);
     void note_unreadable(const stored_object& item, std::string_view reason, instant now);
     void log_unreadable(instant now);
     [[nodiscard]] bool is_former(const stored_object& removal) const;
-    void remove(const server_id& id);
+    void remove(const server_id& id, duration kept);
     [[nodiscard]] bool lapsed_together(const service_id& service) const;
 
     server_table& table;
     const protocol& dialect;
-    std::map<server_id, instant> missing; ///< not listed any more, and since when
+    std::map<server_id, missing_entry> missing;
     unreadable_entries unreadable_now;
     std::uint64_t unreadable_total = 0;
     instant unreadable_logged{};
--- a/src/store_watch.cpp
+++ b/src/store_watch.cpp
@@ -168,8 +168,10 @@
 {
     this->pause = {};
     if (std::exchange(this->answering, true)) return;
+    const bool first = this->regained == instant{};
     this->regained = now;
-    log_event(log_level::info, "store_regained", {{"kind", name_of(this->followed)}});
+    log_event(log_level::info, "store_regained",
+              {{"kind", name_of(this->followed)}, {"first", first ? 1 : 0}});
 }
 
 void store_watch::take_failure(std::uint64_t number, std::string_view reason, instant now)
