--- a/src/server_registry.cpp
+++ b/src/server_registry.cpp
@@ -17,7 +17,8 @@
     for (const stored_object& item : all)
         names.insert(item.name);
     for (const auto& [id, row] : this->table.rows()) {
-        if (!names.contains(id.text) && !row.gone) this->missing.try_emplace(id, missing_entry{now});
+        if (!names.contains(id.text) && !row.gone)
+            this->missing.try_emplace(id, missing_entry{now});
     }
     this->take_part(all, now);
 }
--- /dev/null
+++ b/test/fuzz/leaving_servers_get_nothing_new.cpp
@@ -0,0 +1,199 @@
+/** \file
+ * A server whose entry is taken away gets no new work of any VM in time, in fleets of all sizes,
+ * also while VMs restart or one of them loses its way to the store; entries that lapse while the
+ * store is away are kept by all VMs until they are back.
+ */
+#include <algorithm>
+#include <array>
+#include <memory>
+#include <span>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "support/store_fleet.h"
+
+namespace {
+
+using namespace worksshift;
+using support::store_fleet;
+
+/** Of the users' bounds the shortest: from the store's answer until a server that leaves gets
+ * nothing new. */
+constexpr duration promised_within = seconds(2);
+/** Until all VMs have learnt of a change: half of that, so that a VM which has just started can be
+ * as late again. */
+constexpr duration learnt_within = seconds(1);
+/** The bound counts for a VM that has run for so long, and from so long after the store's return:
+ * the shortest such time. */
+constexpr duration calm_after = seconds(3);
+/** After the store's return, within which entries that lapsed are back. */
+constexpr duration back_within = milliseconds(1900);
+
+struct fleet_size {
+    std::size_t vms = 0;
+    std::size_t data_centres = 0;
+};
+constexpr std::array fleet_sizes{fleet_size{7, 4}, fleet_size{65, 4}, fleet_size{480, 13}};
+/** The largest takes long; for what does not depend on the size. */
+constexpr auto small_fleet_sizes = std::span(fleet_sizes).first<2>();
+
+/** Small services, of which few servers are most. */
+constexpr std::size_t servers_of_small_service = 4;
+
+std::string name_of(std::size_t server)
+{
+    return "desk" + std::to_string(server);
+}
+
+std::unique_ptr<store_fleet> make_fleet(const fleet_size& size)
+{
+    auto fleet = std::make_unique<store_fleet>(size.vms, size.data_centres, 5);
+    for (std::size_t server = 0; server < 20; ++server)
+        fleet->add_server("model" + std::to_string(server), "model");
+    for (std::size_t server = 0; server < servers_of_small_service; ++server)
+        fleet->add_server(name_of(server), "desk");
+    fleet->set_config(1);
+    fleet->run(seconds(15));
+    return fleet;
+}
+
+/** Restarts an eighth of the VMs each second, with the others in turn. */
+class rolling_restart {
+public:
+    explicit rolling_restart(store_fleet& fleet) : fleet(fleet) {}
+
+    void run(duration span)
+    {
+        for (duration left = span; left > duration::zero(); left -= seconds(1)) {
+            const std::size_t count = this->fleet.vms.size();
+            for (std::size_t i = 0; i < count / 8 + 1; ++i)
+                this->fleet.restart(this->next++ % count);
+            this->fleet.run(std::min<duration>(left, seconds(1)));
+        }
+    }
+
+private:
+    store_fleet& fleet;
+    std::size_t next = 0;
+};
+
+class leaving_servers_get_nothing_new : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(leaving_servers_get_nothing_new);
+    CPPUNIT_TEST(in_calm);
+    CPPUNIT_TEST(while_vms_restart);
+    CPPUNIT_TEST(when_most_of_a_service_leaves_while_vms_restart);
+    CPPUNIT_TEST(when_one_vm_comes_back_to_the_store);
+    CPPUNIT_TEST(lapsed_entries_are_kept_by_all_vms);
+    CPPUNIT_TEST(lapsed_entries_that_stay_away_are_gone);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::string at(const fleet_size& size) { return std::to_string(size.vms) + " VMs"; }
+
+public:
+    static void in_calm()
+    {
+        for (const fleet_size& size : small_fleet_sizes) {
+            const auto fleet = make_fleet(size);
+            fleet->remove_server("model3");
+            fleet->remove_server(name_of(0));
+            fleet->run(promised_within);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(at(size), std::size_t{0}, fleet->vms_using("model3"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(at(size), std::size_t{0}, fleet->vms_using(name_of(0)));
+        }
+    }
+
+    /** Guards against a VM's start being taken for the return of a store that was never away. */
+    static void while_vms_restart()
+    {
+        for (const fleet_size& size : small_fleet_sizes) {
+            const auto fleet = make_fleet(size);
+            rolling_restart restart(*fleet);
+            restart.run(seconds(4));
+            for (std::size_t round = 0; round < 5; ++round) {
+                const std::string server = "model" + std::to_string(round);
+                fleet->remove_server(server);
+                restart.run(learnt_within);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(at(size), std::size_t{0},
+                                             fleet->vms_using(server, calm_after));
+            }
+        }
+    }
+
+    /** Guards against servers that leave one after the other being taken for entries that lapsed
+     * together, for as long as VMs restart. */
+    static void when_most_of_a_service_leaves_while_vms_restart()
+    {
+        for (const fleet_size& size : fleet_sizes) {
+            const auto fleet = make_fleet(size);
+            rolling_restart restart(*fleet);
+            restart.run(seconds(4));
+            for (std::size_t server = 0; server + 1 < servers_of_small_service; ++server) {
+                fleet->remove_server(name_of(server));
+                restart.run(seconds(1));
+            }
+            restart.run(promised_within);
+            for (std::size_t server = 0; server + 1 < servers_of_small_service; ++server) {
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(at(size), std::size_t{0},
+                                             fleet->vms_using(name_of(server), calm_after));
+            }
+        }
+    }
+
+    /** Guards against one VM's way to the store being taken for the store. */
+    static void when_one_vm_comes_back_to_the_store()
+    {
+        for (const fleet_size& size : small_fleet_sizes) {
+            const auto fleet = make_fleet(size);
+            for (const auto& [vm, item] : fleet->fleet.vms) {
+                if (item.duty.watching() && fleet->store.refused.empty()) {
+                    fleet->store.refused.insert(vm);
+                }
+            }
+            fleet->run(seconds(5));
+            fleet->store.refused.clear();
+            fleet->run(milliseconds(1500));
+            fleet->remove_server("model3");
+            fleet->run(learnt_within);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(at(size), std::size_t{0}, fleet->vms_using("model3"));
+        }
+    }
+
+    /** Guards against dropping a whole service whose servers could not write to the store. */
+    static void lapsed_entries_are_kept_by_all_vms()
+    {
+        for (const fleet_size& size : fleet_sizes) {
+            const auto fleet = make_fleet(size);
+            fleet->store.silent = true;
+            fleet->run(seconds(6));
+            for (std::size_t server = 0; server < servers_of_small_service; ++server)
+                fleet->remove_server(name_of(server));
+            fleet->store.silent = false;
+            for (duration left = back_within; left > duration::zero(); left -= milliseconds(100)) {
+                fleet->run(milliseconds(100));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(at(size), size.vms, fleet->vms_using(name_of(0)));
+            }
+            for (std::size_t server = 0; server < servers_of_small_service; ++server)
+                fleet->add_server(name_of(server), "desk");
+            fleet->run(promised_within);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(at(size), size.vms, fleet->vms_using(name_of(0)));
+        }
+    }
+
+    static void lapsed_entries_that_stay_away_are_gone()
+    {
+        for (const fleet_size& size : small_fleet_sizes) {
+            const auto fleet = make_fleet(size);
+            fleet->store.silent = true;
+            fleet->run(seconds(6));
+            for (std::size_t server = 0; server < servers_of_small_service; ++server)
+                fleet->remove_server(name_of(server));
+            fleet->store.silent = false;
+            fleet->run(calm_after + promised_within);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(at(size), std::size_t{0}, fleet->vms_using(name_of(0)));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(leaving_servers_get_nothing_new);
+
+} // namespace
--- a/test/support/store_fleet.cpp
+++ b/test/support/store_fleet.cpp
@@ -115,6 +115,7 @@
 void store_fleet::connect(std::size_t vm)
 {
     following_vm& item = this->vms[vm];
+    item.started = this->fleet.now;
     const auto take_configs = [&item](const std::vector<stored_object>& objects) {
         for (const stored_object& object : objects)
             take_version(item, std::stoull(object.document));
@@ -146,6 +147,31 @@
     this->connect(vm);
 }
 
+void store_fleet::add_server(const std::string& name, const std::string& service)
+{
+    const std::string document =
+        R"({"service":")" + service +
+        R"(","address":"127.0.0.1:1","zone":"dc","version":"v1","slots":4,)"
+        R"("coldRemainingMs":0,"sequence":1,"state":"ready"})";
+    this->store.put(object_kind::servers, name, document, this->fleet.now);
+}
+
+void store_fleet::remove_server(const std::string& name)
+{
+    this->store.remove(object_kind::servers, name, this->fleet.now);
+}
+
+std::size_t store_fleet::vms_using(const std::string& server, duration running_for) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(this->fleet.vms, [&](const auto& entry) {
+        const following_vm& item = this->vms.at(entry.first);
+        const auto& rows = item.table.rows();
+        const auto row = rows.find(server_id{server});
+        return this->fleet.now - item.started >= running_for && row != rows.end() &&
+               row->second.takes_work();
+    }));
+}
+
 void store_fleet::set_config(std::uint64_t version)
 {
     this->store.put(object_kind::configuration, "main", std::to_string(version), this->fleet.now);
@@ -200,6 +226,7 @@
     const std::optional<registry_update> news = item.feed.take(update);
     if (item.feed.revision() < before) item.went_back = true;
     if (!news) return;
+    this->take_servers(item, *news);
     if (news->whole) item.registry.clear();
     for (const stored_object& object : news->objects) {
         const auto known = item.registry.find(object.name);
@@ -214,6 +241,16 @@
     }
 }
 
+void store_fleet::take_servers(following_vm& item, const registry_update& news) const
+{
+    if (news.whole) {
+        item.servers_in_use.take_list(news.objects, this->fleet.now);
+        return;
+    }
+    for (const stored_object& object : news.objects)
+        item.servers_in_use.take_change(object, this->fleet.now);
+}
+
 void store_fleet::tick(std::size_t vm)
 {
     if (this->answered_at != this->fleet.now) {
@@ -241,6 +278,10 @@
         this->ask_store(vm, follow);
         if (follow.fetching.due(now)) this->ask_peer(vm, kind);
     }
+    store_news known = digests.rounds.fleet().store();
+    known.merge(digests.store);
+    item.servers_in_use.sweep(now, known.back_at);
+    item.table.sweep(now);
     if (item.feed.revision() != revision || item.version != version) digests.rounds.hasten();
 }
 
--- a/test/support/store_fleet.h
+++ b/test/support/store_fleet.h
@@ -10,6 +10,7 @@
 #include "evacuations.h"
 #include "platform.h"
 #include "registry_feed.h"
+#include "server_registry.h"
 #include "store_follow.h"
 #include "support/digest_fleet.h"
 
@@ -70,6 +71,9 @@
     worksshift::evacuation_state evacuated{dialect};
     worksshift::registry_feed feed;
     std::map<std::string, worksshift::stored_object> registry;
+    worksshift::server_table table{worksshift::data_centre_id{"dc"}, 4};
+    worksshift::server_registry servers_in_use{table, dialect};
+    worksshift::instant started{};
     bool listed = false;
     std::uint64_t version = 0; ///< of the configuration in force
     std::uint64_t newest_heard = 0;
@@ -92,6 +96,13 @@
     /** Whether all live VMs but those of \p without know what is evacuated. */
     [[nodiscard]] bool all_evacuate(const std::set<std::string>& places,
                                     const std::set<std::size_t>& without = {}) const;
+    /** Writes the entry of a server of a service. */
+    void add_server(const std::string& name, const std::string& service);
+    /** Takes the entry of a server away. */
+    void remove_server(const std::string& name);
+    /** Live VMs that would send a request to the server, of those that have run for so long. */
+    [[nodiscard]] std::size_t vms_using(const std::string& server,
+                                        worksshift::duration running_for = {}) const;
     /** Loses the calls that wait, without a sign to the callers. */
     void lose_waiting() { this->waiting.clear(); }
     /** Starts a VM anew: it knows nothing. */
@@ -129,6 +140,7 @@
     void ask_peer(std::size_t vm, worksshift::object_kind kind);
     void take_peer_answers();
     void apply(following_vm& item, const worksshift::registry_update& update);
+    void take_servers(following_vm& item, const worksshift::registry_update& news) const;
     static void take_version(following_vm& item, std::uint64_t version);
     worksshift::store_follow& follow_of(std::size_t vm, worksshift::object_kind kind);
 
