What digests tell of the store's return is dated once, and not made newer by each VM that passes it on

Cause: the return is told by its age, rounded up to 10 ms, and the newest date is taken over. Where a datagram takes longer than the rounding, each pass makes the date newer; the VMs pass it on to each other all the time, so it never gets old, and entries that lapsed and stay away are kept for ever.

Now: two ends of outages are apart by the shortest outage at least, so a date that is newer by less is the same end. lapsed_entries_that_stay_away_are_gone failed before and passes.

--- a/src/fleet_table.h
+++ b/src/fleet_table.h
@@ -17,6 +17,7 @@
 #include "cold_servers.h"
 #include "ids.h"
 #include "load_tables.h"
+#include "store_outage.h"
 
 namespace worksshift {
 
@@ -61,10 +62,12 @@
     instant back_at{};      ///< it came back to some VM that was without it
     instant confirmed_at{}; ///< it answered a linearizable call of some VM
 
-    /** Takes over what is newer. */
+    /** Takes over what is newer. The ends of two outages are further apart than the shortest one
+     * lasts: what is told to be newer by less is the same end, and each VM that passed it on has
+     * made it newer by the time its datagram took. */
     void merge(const store_news& other)
     {
-        this->back_at = std::max(this->back_at, other.back_at);
+        if (other.back_at >= this->back_at + shortest_outage) this->back_at = other.back_at;
         this->confirmed_at = std::max(this->confirmed_at, other.confirmed_at);
     }
     void describe(fleet_digest& digest, instant now) const;
