What a VM learns late of servers that went is as old as the VM that told it says

Cause: the time for which a missing entry is kept counted from when each VM missed it, and entries that were missed at once were taken to have lapsed at once. A VM that was behind misses at once what left one after the other, over half of a small service. Servers that had drained before their entries went counted as lapsed as well, and made others look so.

Now: a VM that passes the registry on also says which servers it still uses and for how long it has missed them; all others that went have left. It says nothing of servers that went before it knew the registry. A list of the store does not say when entries went, so nothing but an outage makes it look as if they had lapsed. Servers that said that they leave never count as lapsed.

--- a/src/registry_feed.cpp
+++ b/src/registry_feed.cpp
@@ -18,10 +18,16 @@
     archive(item.name, item.revision, item.document, item.removed);
 }
 
+template <class Archive>
+void serialize(Archive& archive, kept_server& item)
+{
+    archive(item.name, item.missing_ms);
+}
+
 template <class Archive>
 void serialize(Archive& archive, registry_update& update)
 {
-    archive(update.revision, update.whole, update.objects);
+    archive(update.revision, update.whole, update.objects, update.kept, update.known_from);
 }
 
 std::string encode(const registry_update& update)
@@ -86,11 +92,12 @@
 std::optional<registry_update> registry_feed::take(const registry_update& update)
 {
     if (update.revision <= this->newest && this->newest != 0) return std::nullopt;
+    if (this->newest == 0) this->first = update.revision;
     if (update.whole) {
         this->take_list(update.objects, update.revision);
         return update;
     }
-    registry_update news{update.revision, false, {}};
+    registry_update news{update.revision, false, {}, update.kept, update.known_from};
     std::ranges::copy_if(update.objects, std::back_inserter(news.objects),
                          [this](const stored_object& item) { return this->is_news(item); });
     for (const stored_object& item : news.objects)
@@ -103,6 +110,7 @@
 {
     registry_update update;
     update.revision = this->newest;
+    update.known_from = this->first;
     update.whole = revision < this->floor;
     if (update.whole) {
         for (const auto& [name, item] : this->entries)
--- a/src/registry_follower.cpp
+++ b/src/registry_follower.cpp
@@ -27,31 +27,32 @@
 {
     store_watch& news = this->follow.watch;
     news.on_first_part.connect([this](const std::vector<stored_object>& part) {
-        this->registry.take_part(part, std::chrono::steady_clock::now());
+        this->registry.take_part(part, told_by_store{}, std::chrono::steady_clock::now());
     });
     news.on_list.connect([this](const std::vector<stored_object>& all) {
-        this->apply({this->follow.watch.changed_revision(), true, all});
+        this->apply({this->follow.watch.changed_revision(), true, all}, told_by_store{});
     });
     news.on_changes.connect([this](const std::vector<stored_object>& changed) {
-        this->apply({this->follow.watch.changed_revision(), false, changed});
+        this->apply({this->follow.watch.changed_revision(), false, changed},
+                    told_by_store{.as_it_happens = true});
     });
     this->registry.on_leaving.connect([this](const server_id& id) { this->on_leaving.emit(id); });
     this->registry.on_restarted.connect(
         [this](const server_id& id) { this->on_restarted.emit(id); });
 }
 
-void registry_follower::apply(const registry_update& update)
+void registry_follower::apply(const registry_update& update, const news_origin& origin)
 {
     const std::optional<registry_update> news = this->feed.take(update);
     if (!news) return;
     this->gossip.hasten();
     const instant time = std::chrono::steady_clock::now();
     if (news->whole) {
-        this->registry.take_list(news->objects, time);
+        this->registry.take_list(news->objects, origin, time);
         return;
     }
     for (const stored_object& item : news->objects)
-        this->registry.take_change(item, time);
+        this->registry.take_change(item, origin, time);
 }
 
 void registry_follower::tick(instant now, std::optional<read_mode> watched)
@@ -84,13 +85,14 @@
     const std::string path =
         std::string(registry_path) + "?" + since_parameter + "=" + std::to_string(own);
     this->caller.call(from, EVHTTP_REQ_GET, path, {}, {}, {catch_up::call_timeout},
-                      [this, from](const http_response& response) {
+                      [this, from, now](const http_response& response) {
                           this->follow.fetching.end(std::chrono::steady_clock::now());
-                          this->take(response, from.address);
+                          this->take(response, from.address, now);
                       });
 }
 
-void registry_follower::take(const http_response& response, const std::string& peer)
+void registry_follower::take(const http_response& response, const std::string& peer,
+                             instant asked_at)
 {
     if (response.status != ok) {
         log_event(log_level::warn, "registry_not_fetched",
@@ -104,8 +106,9 @@
                    {"revision", update.revision},
                    {"before", this->feed.revision()},
                    {"objects", update.objects.size()},
+                   {"kept", update.kept.size()},
                    {"whole", update.whole ? 1 : 0}});
-        this->apply(update);
+        this->apply(update, origin_of(update, this->feed.revision(), asked_at));
         this->follow.watch.advance(update.revision);
     } catch (const error& fault) {
         log_event(log_level::error, "registry_unreadable",
@@ -130,11 +133,20 @@
         if (text != nullptr) since = std::strtoull(text, nullptr, decimal);
         evhttp_clear_headers(&parameters);
     }
-    if (std::exchange(this->answers_at, this->feed.revision()) != this->feed.revision()) {
+    const instant time = std::chrono::steady_clock::now();
+    const std::vector<kept_server> kept = this->registry.kept(time);
+    const bool changed =
+        std::exchange(this->answers_at, this->feed.revision()) != this->feed.revision();
+    if (changed || time - this->answers_made > kept_told_for) {
         this->answers.clear();
+        this->answers_made = time;
     }
     const auto [found, added] = this->answers.try_emplace(since);
-    if (added) found->second = encode(this->feed.since(since));
+    if (added) {
+        registry_update update = this->feed.since(since);
+        update.kept = kept;
+        found->second = encode(update);
+    }
     const std::string& body = found->second;
     evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
     evhttp_send_reply(request, ok, nullptr, nullptr);
--- a/src/registry_follower.h
+++ b/src/registry_follower.h
@@ -19,6 +19,9 @@
 
 class registry_follower {
 public:
+    /** Answers that tell of servers which are kept for a while are made anew after this time. */
+    static constexpr duration kept_told_for = milliseconds(50);
+
     registry_follower(event_base* base, http_caller& caller, const link_address& store,
                       const protocol& dialect, server_table& table, fleet_gossip& gossip);
 
@@ -57,8 +60,8 @@
 
 private:
     void ask_peer(instant now);
-    void take(const http_response& response, const std::string& peer);
-    void apply(const registry_update& update);
+    void take(const http_response& response, const std::string& peer, instant asked_at);
+    void apply(const registry_update& update, const news_origin& origin);
 
     http_caller& caller;
     fleet_gossip& gossip;
@@ -71,6 +74,7 @@
     /** Answers to other VMs by what they know; most of them ask from the same revision. */
     mutable std::map<std::uint64_t, std::string> answers;
     mutable std::uint64_t answers_at = 0; ///< revision of the answers
+    mutable instant answers_made{};       ///< the oldest of them
     std::minstd_rand random{std::random_device{}()};
 };
 
--- a/src/server_registry.cpp
+++ b/src/server_registry.cpp
@@ -7,28 +7,36 @@
 
 #include "errors.h"
 #include "log.h"
+#include "visitor.h"
 
 namespace worksshift {
 
-void server_registry::take_list(std::span<const stored_object> all, instant now)
+news_origin origin_of(const registry_update& update, std::uint64_t revision, instant asked_at)
+{
+    if (update.known_from > revision) return told_by_store{};
+    return told_by_vm{update.kept, asked_at};
+}
+
+void server_registry::take_list(std::span<const stored_object> all, const news_origin& origin,
+                                instant now)
 {
     this->listed = true;
     std::unordered_set<std::string_view> names;
     for (const stored_object& item : all)
         names.insert(item.name);
     for (const auto& [id, row] : this->table.rows()) {
-        if (!names.contains(id.text) && !row.gone)
-            this->missing.try_emplace(id, missing_entry{now});
+        if (!names.contains(id.text)) this->miss(id, origin, now);
     }
-    this->take_part(all, now);
+    this->take_part(all, origin, now);
 }
 
-void server_registry::take_part(std::span<const stored_object> part, instant now)
+void server_registry::take_part(std::span<const stored_object> part, const news_origin& origin,
+                                instant now)
 {
     const bool few = part.size() <= this->table.rows().size() + logged_one_by_one;
     const logging told = few ? logging::each : logging::none;
     const auto changed = std::ranges::count_if(
-        part, [&](const stored_object& item) { return this->put(item, told, now); });
+        part, [&](const stored_object& item) { return this->put(item, told, origin, now); });
     log_event(log_level::info, "servers_listed",
               {{"servers", part.size()},
                {"changed", changed},
@@ -36,15 +44,47 @@
                {"each_logged", few ? 1 : 0}});
 }
 
-void server_registry::take_change(const stored_object& item, instant now)
+void server_registry::take_change(const stored_object& item, const news_origin& origin, instant now)
 {
     if (!item.removed) {
-        this->put(item, logging::each, now);
+        this->put(item, logging::each, origin, now);
     } else if (!this->is_former(item)) {
-        this->missing.try_emplace(server_id{item.name}, missing_entry{now});
+        this->miss(server_id{item.name}, origin, now);
     }
 }
 
+/** Notes that the server is not listed any more. One that said that it leaves has left. */
+void server_registry::miss(const server_id& id, const news_origin& origin, instant now)
+{
+    const server_entry* row = this->table.find(id);
+    if (row == nullptr || row->gone) return;
+    missing_entry entry{now};
+    entry.left = row->record.draining || row->leaving;
+    std::visit(
+        visitor{[&](const told_by_store& store) { entry.as_it_happened = store.as_it_happens; },
+                [&](const told_by_vm& vm) {
+                    const auto found = std::ranges::find(vm.kept, id.text, &kept_server::name);
+                    entry.as_it_happened = true;
+                    if (found == vm.kept.end()) {
+                        entry.left = true;
+                    } else {
+                        entry.since = vm.asked_at - milliseconds(found->missing_ms);
+                    }
+                }},
+        origin);
+    this->missing.try_emplace(id, entry);
+}
+
+std::vector<kept_server> server_registry::kept(instant now) const
+{
+    std::vector<kept_server> servers;
+    for (const auto& [id, entry] : this->missing) {
+        const auto age = std::max<std::int64_t>((now - entry.since) / milliseconds(1), 0);
+        if (!entry.left) servers.push_back({id.text, static_cast<std::uint32_t>(age)});
+    }
+    return servers;
+}
+
 /** Whether it was a former life of the server that went. */
 bool server_registry::is_former(const stored_object& removal) const
 {
@@ -56,7 +96,8 @@
     }
 }
 
-bool server_registry::put(const stored_object& item, logging told, instant now)
+bool server_registry::put(const stored_object& item, logging told, const news_origin& origin,
+                          instant now)
 {
     try {
         const server_record record = this->dialect.decode_server(item);
@@ -85,18 +126,16 @@
         if (record.draining) this->on_leaving.emit(record.id);
         return true;
     } catch (const error& fault) {
-        this->note_unreadable(item, fault.what(), now);
+        this->note_unreadable(item, fault.what(), origin, now);
         return false;
     }
 }
 
 /** The entry names no server. One that it named before is gone like one whose entry was removed. */
 void server_registry::note_unreadable(const stored_object& item, std::string_view reason,
-                                      instant now)
+                                      const news_origin& origin, instant now)
 {
-    const server_id id{item.name};
-    const server_entry* row = this->table.find(id);
-    if (row != nullptr && !row->gone) this->missing.try_emplace(id, missing_entry{now});
+    this->miss(server_id{item.name}, origin, now);
     ++this->unreadable_total;
     if (this->unreadable_now.count++ > 0) return;
     this->unreadable_now.first = item.name.substr(0, reason_at_most);
@@ -131,29 +170,40 @@
     std::size_t lapsed = 0;
     for (const auto& [id, row] : this->table.rows()) {
         if (row.gone || row.record.service != service) continue;
+        const auto found = this->missing.find(id);
+        const bool is_missing = found != this->missing.end();
+        if (is_missing && found->second.left) continue;
         ++all;
-        if (this->missing.contains(id)) ++lapsed;
+        if (is_missing) ++lapsed;
     }
     return static_cast<double>(lapsed) > lapsed_share * static_cast<double>(all);
 }
 
-void server_registry::sweep(instant now, instant store_regained)
+/** \p together: with most of its service. */
+instant server_registry::used_until(const missing_entry& entry, bool together, instant store_back)
+{
+    if (entry.left) return entry.since;
+    const instant soon = entry.since + leaving_kept_for;
+    const instant back = store_back + lapsed_kept_for;
+    if (entry.since < back) return together ? std::max(back, soon) : std::min(back, soon);
+    // An outage that nobody noticed shows by entries that lapse together.
+    return together && entry.as_it_happened ? soon : entry.since;
+}
+
+void server_registry::sweep(instant now, instant store_back)
 {
-    const instant back = store_regained + lapsed_kept_for;
     std::vector<std::pair<server_id, duration>> over;
     for (auto& [id, entry] : this->missing) {
         const server_entry* row = this->table.find(id);
         const bool together = row != nullptr && this->lapsed_together(row->record.service);
-        const instant soon = entry.since + leaving_kept_for;
-        // An outage that nobody noticed shows by entries that lapse together.
-        const instant until = together ? std::max(back, soon) : std::min(back, soon);
+        const instant until = used_until(entry, together, store_back);
         if (now >= until) {
             over.emplace_back(id, now - entry.since);
         } else if (!std::exchange(entry.logged, true)) {
             log_event(log_level::info, "server_missing",
                       {{"server", id.text},
                        {"together", together ? 1 : 0},
-                       {"store_back_ms", (now - store_regained) / milliseconds(1)},
+                       {"store_back_ms", (now - store_back) / milliseconds(1)},
                        {"kept_ms", (until - entry.since) / milliseconds(1)}});
         }
     }
--- a/src/server_registry.h
+++ b/src/server_registry.h
@@ -4,20 +4,41 @@
  *
  * Entries that lapsed are back within about two seconds of the store's return, so they are kept for
  * that time. A server that leaves must get no new work two seconds later, so a single entry that
- * goes is kept for less.
+ * goes is kept for less. The time counts from when the first VM missed the entry: what this one
+ * learns late from another is as old as the other says, and what the other does not use any more
+ * has left.
  */
 #pragma once
 
 #include <map>
 #include <span>
+#include <variant>
+#include <vector>
 
 #include <sigc++/sigc++.h>
 
 #include "protocol.h"
+#include "registry_feed.h"
 #include "server_table.h"
 
 namespace worksshift {
 
+/** The store told of the registry. */
+struct told_by_store {
+    /** Changes are told as they happen; a list does not say when an entry went. */
+    bool as_it_happens = false;
+};
+/** Another VM did. */
+struct told_by_vm {
+    std::span<const kept_server> kept; ///< by that VM
+    instant asked_at{};
+};
+using news_origin = std::variant<told_by_store, told_by_vm>;
+
+/** Of an update by another VM. One that did not know the servers which are known here, at \p
+ * revision, says no more of those that went than a list of the store. */
+news_origin origin_of(const registry_update& update, std::uint64_t revision, instant asked_at);
+
 class server_registry {
 public:
     /** After the store's return, for entries that lapsed together. */
@@ -40,13 +61,15 @@
     }
 
     /** All entries there are. */
-    void take_list(std::span<const stored_object> all, instant now);
+    void take_list(std::span<const stored_object> all, const news_origin& origin, instant now);
     /** Some of the entries there are. */
-    void take_part(std::span<const stored_object> part, instant now);
-    void take_change(const stored_object& item, instant now);
-    /** Takes out what is gone for good, and logs what could not be read. \p store_regained is when
-     * the store last came back. */
-    void sweep(instant now, instant store_regained);
+    void take_part(std::span<const stored_object> part, const news_origin& origin, instant now);
+    void take_change(const stored_object& item, const news_origin& origin, instant now);
+    /** Servers that are not listed any more, and are used for the time being. */
+    [[nodiscard]] std::vector<kept_server> kept(instant now) const;
+    /** Takes out what is gone for good, and logs what could not be read. \p store_back is when the
+     * store last came back from an outage. */
+    void sweep(instant now, instant store_back);
 
     /** Whether a whole list has come. */
     [[nodiscard]] bool known() const { return this->listed; }
@@ -70,12 +93,18 @@
     /** A server that is not listed any more, and is not taken out yet. */
     struct missing_entry {
         instant since{};
+        bool as_it_happened = false; ///< not found missing from a list
+        bool left = false;           ///< for certain
         bool logged = false;
     };
 
     /** Returns whether anything changed. */
-    bool put(const stored_object& item, logging told, instant now);
-    void note_unreadable(const stored_object& item, std::string_view reason, instant now);
+    bool put(const stored_object& item, logging told, const news_origin& origin, instant now);
+    void miss(const server_id& id, const news_origin& origin, instant now);
+    [[nodiscard]] static instant used_until(const missing_entry& entry, bool together,
+                                            instant store_back);
+    void note_unreadable(const stored_object& item, std::string_view reason,
+                         const news_origin& origin, instant now);
     void log_unreadable(instant now);
     [[nodiscard]] bool is_former(const stored_object& removal) const;
     void remove(const server_id& id, duration kept);
--- a/test/error/registry_entries_by_others.cpp
+++ b/test/error/registry_entries_by_others.cpp
@@ -18,6 +18,8 @@
 using namespace support;
 using namespace worksshift;
 
+constexpr told_by_store as_it_happens{true};
+
 const std::string sound = R"({"service":"desk","address":"127.0.0.1:1","zone":"dc","version":"v1",)"
                           R"("slots":4,"state":"ready","coldRemainingMs":0,"sequence":1})";
 
@@ -124,7 +126,7 @@
             server_table table(data_centre_id{"dc"});
             server_registry registry(table, this->dialect);
             const std::vector<stored_object> all{entry("a", sound), entry("b", document)};
-            registry.take_list(all, instant(seconds(1000)));
+            registry.take_list(all, told_by_store{}, instant(seconds(1000)));
             const std::string start = document.substr(0, 200);
             CPPUNIT_ASSERT_MESSAGE(start, table.find(server_id{"a"}) != nullptr);
             CPPUNIT_ASSERT_MESSAGE(start, table.find(server_id{"b"}) == nullptr);
@@ -153,11 +155,11 @@
         std::vector<stored_object> all;
         for (const std::string name : {"a", "b", "c", "d"})
             all.push_back(entry(name, sound));
-        registry.take_list(all, now);
-        registry.take_change(entry("a", "{}"), now + seconds(10));
+        registry.take_list(all, told_by_store{}, now);
+        registry.take_change(entry("a", "{}"), as_it_happens, now + seconds(10));
         registry.sweep(now + seconds(12), now);
         CPPUNIT_ASSERT(table.find(server_id{"a"})->gone);
-        registry.take_change(entry("a", sound), now + seconds(13));
+        registry.take_change(entry("a", sound), as_it_happens, now + seconds(13));
         CPPUNIT_ASSERT(table.find(server_id{"a"})->takes_work());
     }
 
--- a/test/error/servers_that_leave_or_lapse.cpp
+++ b/test/error/servers_that_leave_or_lapse.cpp
@@ -14,6 +14,8 @@
 
 using namespace worksshift;
 
+constexpr told_by_store as_it_happens{true};
+
 class servers_that_leave_or_lapse : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(servers_that_leave_or_lapse);
     CPPUNIT_TEST(leaves_in_calm);
@@ -22,8 +24,13 @@
     CPPUNIT_TEST(lapsed_and_not_back_are_gone);
     CPPUNIT_TEST(lapsed_while_nobody_noticed_are_kept_for_a_while);
     CPPUNIT_TEST(drains);
+    CPPUNIT_TEST(those_that_said_so_have_not_lapsed);
+    CPPUNIT_TEST(kept_for_as_long_as_by_the_teller);
+    CPPUNIT_TEST(what_the_teller_does_not_use_has_left);
+    CPPUNIT_TEST(a_teller_that_never_knew_a_server_says_nothing_of_it);
     CPPUNIT_TEST(feed_passes_on_changes);
     CPPUNIT_TEST(feed_passes_on_removals_of_what_it_never_saw);
+    CPPUNIT_TEST(feed_passes_on_what_is_kept);
     CPPUNIT_TEST(feed_passes_on_the_whole);
     CPPUNIT_TEST(feed_passes_over_what_is_older);
     CPPUNIT_TEST(feed_refuses_other_bytes);
@@ -69,12 +76,12 @@
         this->table = std::make_unique<server_table>(data_centre_id{"dc"});
         this->registry = std::make_unique<server_registry>(*this->table, this->dialect);
         const std::vector<stored_object> all{entry("a"), entry("b"), entry("c"), entry("d")};
-        this->registry->take_list(all, this->start);
+        this->registry->take_list(all, told_by_store{}, this->start);
     }
 
     void leaves_in_calm()
     {
-        this->registry->take_change(removal("a"), this->start + seconds(60));
+        this->registry->take_change(removal("a"), as_it_happens, this->start + seconds(60));
         this->registry->sweep(this->start + seconds(60), this->start);
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, this->usable());
     }
@@ -82,7 +89,7 @@
     void leaves_after_the_store_was_away()
     {
         const instant back = this->start + seconds(60);
-        this->registry->take_change(removal("a"), back);
+        this->registry->take_change(removal("a"), as_it_happens, back);
         this->registry->sweep(back + milliseconds(100), back);
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, this->usable());
         this->registry->sweep(back + leaving_bound - milliseconds(200), back);
@@ -92,11 +99,11 @@
     void lapsed_together_are_kept()
     {
         const instant back = this->start + seconds(60);
-        this->registry->take_list({}, back);
+        this->registry->take_list({}, told_by_store{}, back);
         this->registry->sweep(back + milliseconds(2100), back);
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, this->usable());
         for (const std::string name : {"a", "b", "c", "d"})
-            this->registry->take_change(entry(name), back + milliseconds(2000));
+            this->registry->take_change(entry(name), as_it_happens, back + milliseconds(2000));
         this->registry->sweep(back + seconds(10), back);
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, this->usable());
     }
@@ -104,8 +111,8 @@
     void lapsed_and_not_back_are_gone()
     {
         const instant back = this->start + seconds(60);
-        this->registry->take_list({}, back);
-        this->registry->take_change(entry("b"), back + milliseconds(1000));
+        this->registry->take_list({}, told_by_store{}, back);
+        this->registry->take_change(entry("b"), as_it_happens, back + milliseconds(1000));
         this->registry->sweep(back + milliseconds(2500), back);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->usable());
     }
@@ -115,10 +122,10 @@
     {
         const instant now = this->start + seconds(60);
         for (const std::string name : {"a", "b", "c", "d"})
-            this->registry->take_change(removal(name), now);
+            this->registry->take_change(removal(name), as_it_happens, now);
         this->registry->sweep(now + milliseconds(100), this->start);
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, this->usable());
-        this->registry->take_change(entry("a"), now + milliseconds(1000));
+        this->registry->take_change(entry("a"), as_it_happens, now + milliseconds(1000));
         this->registry->sweep(now + leaving_bound - milliseconds(200), this->start);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->usable());
     }
@@ -127,11 +134,60 @@
     {
         std::vector<server_id> told;
         this->registry->on_leaving.connect([&](const server_id& id) { told.push_back(id); });
-        this->registry->take_change(entry("a", "draining"), this->start + seconds(1));
+        this->registry->take_change(entry("a", "draining"), as_it_happens,
+                                    this->start + seconds(1));
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, this->usable());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.size());
     }
 
+    /** Guards against servers that drained, and then go, making another one look as if it had
+     * lapsed with them. */
+    void those_that_said_so_have_not_lapsed()
+    {
+        const instant now = this->start + seconds(60);
+        this->registry->take_change(entry("a", "draining"), as_it_happens, now);
+        this->registry->take_change(entry("b", "draining"), as_it_happens, now);
+        for (const std::string name : {"a", "b", "c"})
+            this->registry->take_change(removal(name), as_it_happens, now + seconds(3));
+        this->registry->sweep(now + seconds(3), this->start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->usable());
+    }
+
+    /** Guards against the time being counted anew by each VM that learns of it. */
+    void kept_for_as_long_as_by_the_teller()
+    {
+        const instant asked = this->start + seconds(60);
+        const std::vector<kept_server> kept{{"a", 1000}, {"b", 1000}, {"c", 1000}};
+        for (const std::string name : {"a", "b", "c"})
+            this->registry->take_change(removal(name), told_by_vm{kept, asked}, asked);
+        this->registry->sweep(asked + milliseconds(400), this->start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, this->usable());
+        this->registry->sweep(asked + milliseconds(500), this->start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->usable());
+    }
+
+    void what_the_teller_does_not_use_has_left()
+    {
+        const instant now = this->start + seconds(60);
+        const std::vector<stored_object> all{entry("a")};
+        registry_update update{20, true, all};
+        update.known_from = 10;
+        this->registry->take_list(all, origin_of(update, 10, now), now);
+        this->registry->sweep(now, now - milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->usable());
+    }
+
+    /** Guards against a VM that started while the store was away ending a whole service. */
+    void a_teller_that_never_knew_a_server_says_nothing_of_it()
+    {
+        const instant now = this->start + seconds(60);
+        registry_update update{20, true, {}};
+        update.known_from = 20;
+        this->registry->take_list({}, origin_of(update, 10, now), now);
+        this->registry->sweep(now, now - milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, this->usable());
+    }
+
     /** A server that was added and taken away at once: one VM was told of both together, another
      * one saw it added and then asks the first. */
     static void feed_passes_on_removals_of_what_it_never_saw()
@@ -160,6 +216,7 @@
         const registry_update update =
             decode_registry_update(encode(source.since(copy.revision())), "peer");
         CPPUNIT_ASSERT(!update.whole);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, update.known_from);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, update.objects.size());
         copy.take(update);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, copy.revision());
@@ -167,6 +224,16 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, copy.since(0).objects.size());
     }
 
+    static void feed_passes_on_what_is_kept()
+    {
+        registry_update update{10, true, {}};
+        update.kept = {{"a", 700}};
+        const registry_update told = decode_registry_update(encode(update), "peer");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.kept.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), told.kept.front().name);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{700}, told.kept.front().missing_ms);
+    }
+
     static void feed_passes_on_the_whole()
     {
         registry_feed source;
--- a/test/error/servers_that_start_again.cpp
+++ b/test/error/servers_that_start_again.cpp
@@ -13,6 +13,8 @@
 
 using namespace support;
 using namespace worksshift;
+
+constexpr told_by_store as_it_happens{true};
 using then = scripted_answer::then;
 
 /** An entry of the registry by a server that started at \p born, in Unix milliseconds. */
@@ -57,7 +59,8 @@
 
     void start_again()
     {
-        this->registry->take_change(entry("a", second_born), this->start + seconds(60));
+        this->registry->take_change(entry("a", second_born), as_it_happens,
+                                    this->start + seconds(60));
     }
 
 public:
@@ -66,7 +69,7 @@
         this->table = std::make_unique<server_table>(data_centre_id{"dc"});
         this->registry = std::make_unique<server_registry>(*this->table, this->dialect);
         const std::vector<stored_object> all{entry("a", first_born), entry("b", first_born)};
-        this->registry->take_list(all, this->start);
+        this->registry->take_list(all, told_by_store{}, this->start);
     }
 
     void load_and_health_start_anew()
@@ -113,7 +116,8 @@
     void entry_of_the_former_life_changes_nothing()
     {
         this->start_again();
-        this->registry->take_change(entry("a", first_born, "draining"), this->start + seconds(61));
+        this->registry->take_change(entry("a", first_born, "draining"), as_it_happens,
+                                    this->start + seconds(61));
         CPPUNIT_ASSERT(this->row().takes_work());
     }
 
@@ -122,7 +126,7 @@
         this->start_again();
         stored_object removal = entry("a", first_born);
         removal.removed = true;
-        this->registry->take_change(removal, this->start + seconds(61));
+        this->registry->take_change(removal, as_it_happens, this->start + seconds(61));
         this->registry->sweep(this->start + seconds(70), this->start);
         CPPUNIT_ASSERT(this->table->find(this->id) != nullptr && this->row().takes_work());
     }
--- a/test/fuzz/leaving_servers_get_nothing_new.cpp
+++ b/test/fuzz/leaving_servers_get_nothing_new.cpp
@@ -83,6 +83,8 @@
     CPPUNIT_TEST(when_one_vm_comes_back_to_the_store);
     CPPUNIT_TEST(lapsed_entries_are_kept_by_all_vms);
     CPPUNIT_TEST(lapsed_entries_that_stay_away_are_gone);
+    CPPUNIT_TEST(learnt_late_from_another_vm);
+    CPPUNIT_TEST(lapsed_entries_are_kept_beside_a_vm_that_starts);
     CPPUNIT_TEST(in_the_largest_fleet);
     CPPUNIT_TEST_SUITE_END();
 
@@ -186,6 +188,44 @@
             lapse_and_come_back(*make_fleet(size));
     }
 
+    /** Guards against servers that left one after the other, and are missed all at once by a VM
+     * that learns late, being taken for entries that lapsed together. */
+    static void learnt_late_from_another_vm()
+    {
+        for (const fleet_size& size : fleet_sizes) {
+            const auto fleet = make_fleet(size);
+            const std::size_t late = size.vms - 1;
+            fleet->store.refused.insert(late);
+            for (std::size_t vm = 0; vm < late; ++vm)
+                fleet->fleet.cut.insert({vm, late});
+            for (std::size_t server = 0; server + 1 < servers_of_small_service; ++server) {
+                fleet->remove_server(name_of(server));
+                fleet->run(seconds(2));
+            }
+            fleet->fleet.cut.clear();
+            fleet->run(learnt_within);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(at(size), std::size_t{0}, fleet->vms_using(name_of(0)));
+        }
+    }
+
+    /** Guards against a VM that never knew a server being taken for one that knows that it left. */
+    static void lapsed_entries_are_kept_beside_a_vm_that_starts()
+    {
+        for (const fleet_size& size : fleet_sizes) {
+            const auto fleet = make_fleet(size);
+            const std::size_t starting = size.vms - 1;
+            fleet->store.silent = true;
+            fleet->run(seconds(6));
+            for (std::size_t server = 0; server < servers_of_small_service; ++server)
+                fleet->remove_server(name_of(server));
+            fleet->fleet.kill(starting);
+            fleet->store.silent = false;
+            fleet->restart(starting);
+            fleet->run(back_within);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(at(size), size.vms - 1, fleet->vms_using(name_of(0)));
+        }
+    }
+
     /** Guards against the same where few VMs watch the store and the others learn from them. */
     static void in_the_largest_fleet()
     {
--- a/test/support/store_fleet.cpp
+++ b/test/support/store_fleet.cpp
@@ -130,10 +130,12 @@
     });
     item.servers.watch.on_list.connect([this, &item](const std::vector<stored_object>& all) {
         item.listed = true;
-        this->apply(item, {item.servers.watch.changed_revision(), true, all});
+        this->apply(item, {item.servers.watch.changed_revision(), true, all, {}, 0},
+                    told_by_store{});
     });
     item.servers.watch.on_changes.connect([this, &item](const std::vector<stored_object>& some) {
-        this->apply(item, {item.servers.watch.changed_revision(), false, some});
+        this->apply(item, {item.servers.watch.changed_revision(), false, some},
+                    told_by_store{.as_it_happens = true});
     });
 }
 
@@ -220,13 +222,14 @@
     item.version = std::max(item.version, version);
 }
 
-void store_fleet::apply(following_vm& item, const registry_update& update)
+void store_fleet::apply(following_vm& item, const registry_update& update,
+                        const news_origin& origin)
 {
     const std::uint64_t before = item.feed.revision();
     const std::optional<registry_update> news = item.feed.take(update);
     if (item.feed.revision() < before) item.went_back = true;
     if (!news) return;
-    this->take_servers(item, *news);
+    this->take_servers(item, *news, origin);
     if (news->whole) item.registry.clear();
     for (const stored_object& object : news->objects) {
         const auto known = item.registry.find(object.name);
@@ -241,14 +244,15 @@
     }
 }
 
-void store_fleet::take_servers(following_vm& item, const registry_update& news) const
+void store_fleet::take_servers(following_vm& item, const registry_update& news,
+                               const news_origin& origin) const
 {
     if (news.whole) {
-        item.servers_in_use.take_list(news.objects, this->fleet.now);
+        item.servers_in_use.take_list(news.objects, origin, this->fleet.now);
         return;
     }
     for (const stored_object& object : news.objects)
-        item.servers_in_use.take_change(object, this->fleet.now);
+        item.servers_in_use.take_change(object, origin, this->fleet.now);
 }
 
 void store_fleet::tick(std::size_t vm)
@@ -346,9 +350,12 @@
     this->follow_of(vm, kind).fetching.begin();
     const auto asked = this->vms.find(digest_fleet::vm_at(peer->address));
     const bool lives = this->fleet.vms.contains(digest_fleet::vm_at(peer->address));
-    peer_answer answer{vm, kind, now + (lives ? peer_delay : catch_up::call_timeout), {}, 0};
+    peer_answer answer{vm, kind, now, now + (lives ? peer_delay : catch_up::call_timeout), {}, 0};
     if (lives && config) answer.version = asked->second.version;
-    if (lives && !config) answer.update = asked->second.feed.since(item.feed.revision());
+    if (lives && !config) {
+        answer.update = asked->second.feed.since(item.feed.revision());
+        answer.update->kept = asked->second.servers_in_use.kept(now);
+    }
     this->answers.push_back(answer);
 }
 
@@ -361,7 +368,9 @@
         this->follow_of(answer.vm, answer.kind).fetching.end(now);
         take_version(item, answer.version);
         if (answer.update) {
-            this->apply(item, *answer.update);
+            const news_origin origin =
+                origin_of(*answer.update, item.feed.revision(), answer.asked_at);
+            this->apply(item, *answer.update, origin);
             item.servers.watch.advance(answer.update->revision);
         }
         return true;
--- a/test/support/store_fleet.h
+++ b/test/support/store_fleet.h
@@ -130,6 +130,7 @@
     struct peer_answer {
         std::size_t vm = 0;
         worksshift::object_kind kind{};
+        worksshift::instant asked_at{};
         worksshift::instant at{};
         std::optional<worksshift::registry_update> update;
         std::uint64_t version = 0;
@@ -141,8 +142,10 @@
     void ask_store(std::size_t vm, worksshift::store_follow& follow);
     void ask_peer(std::size_t vm, worksshift::object_kind kind);
     void take_peer_answers();
-    void apply(following_vm& item, const worksshift::registry_update& update);
-    void take_servers(following_vm& item, const worksshift::registry_update& news) const;
+    void apply(following_vm& item, const worksshift::registry_update& update,
+               const worksshift::news_origin& origin);
+    void take_servers(following_vm& item, const worksshift::registry_update& news,
+                      const worksshift::news_origin& origin) const;
     static void take_version(following_vm& item, std::uint64_t version);
     worksshift::store_follow& follow_of(std::size_t vm, worksshift::object_kind kind);
 
