A call that was lost in an outage and fails after it is no second outage

Callers: none seen; entries that went after an outage could be kept for 2.3 s more than is allowed for.

Cause: a watch that waits for 12 s and was lost in an outage fails seconds after the store's return. The VM took its next answer for another return, if nobody had been answered for 2 s by then.

Now: a loss counts if its call was made after the last known return.

--- a/src/fleet_table.h
+++ b/src/fleet_table.h
@@ -57,22 +57,6 @@
     bool to_answer = false; ///< it is joining, and was heard since this VM last sent
 };
 
-/** What is known of the store by what all VMs tell each other; the epoch: nothing. */
-struct store_news {
-    instant back_at{};      ///< it came back to some VM that was without it
-    instant confirmed_at{}; ///< it answered a linearizable call of some VM
-
-    /** Takes over what is newer. The ends of two outages are further apart than the shortest one
-     * lasts: what is told to be newer by less is the same end, and each VM that passed it on has
-     * made it newer by the time its datagram took. */
-    void merge(const store_news& other)
-    {
-        if (other.back_at >= this->back_at + shortest_outage) this->back_at = other.back_at;
-        this->confirmed_at = std::max(this->confirmed_at, other.confirmed_at);
-    }
-    void describe(fleet_digest& digest, instant now) const;
-};
-
 class fleet_table {
 public:
     struct identity {
--- a/src/registry_follower.cpp
+++ b/src/registry_follower.cpp
@@ -61,8 +61,8 @@
     this->follow.update(watched, this->known(), behind, now);
     this->calls.proceed();
     if (this->follow.fetching.due(now)) this->ask_peer(now);
-    this->outage.update(this->follow.watch.failing_since(), this->follow.watch.answered_at(),
-                        this->gossip.fleet().store().confirmed_at);
+    this->outage.update(this->follow.watch.failing_call(), this->follow.watch.answered_at(),
+                        this->gossip.fleet().store());
     this->registry.sweep(now, this->store().back_at);
 }
 
--- a/src/store_outage.cpp
+++ b/src/store_outage.cpp
@@ -6,21 +6,23 @@
 
 namespace worksshift {
 
-void store_outage::update(std::optional<instant> failing_since, instant answered_here,
-                          instant answered_elsewhere)
+void store_outage::update(const std::optional<failed_call>& failing, instant answered_here,
+                          const store_news& elsewhere)
 {
-    if (failing_since && failing_since != this->failing) this->noticed = failing_since;
-    this->failing = failing_since;
+    // A call that was made before the store's return was lost in the outage that is over.
+    const instant known_back = std::max(this->back, elsewhere.back_at);
+    const bool lost_anew = failing && failing != this->failing && failing->asked_at > known_back;
+    if (lost_anew) this->noticed = failing->failed_at;
+    this->failing = failing;
     if (this->noticed) {
-        const bool here = answered_here > *this->noticed;
-        const bool elsewhere = answered_elsewhere > *this->noticed + told_late_by;
-        if (elsewhere) {
-            this->end(answered_elsewhere);
-        } else if (here) {
+        const bool answered_others = elsewhere.confirmed_at > *this->noticed + told_late_by;
+        if (answered_others) {
+            this->end(elsewhere.confirmed_at);
+        } else if (answered_here > *this->noticed) {
             this->end(answered_here);
         }
     }
-    this->answered = std::max({this->answered, answered_here, answered_elsewhere});
+    this->answered = std::max({this->answered, answered_here, elsewhere.confirmed_at});
 }
 
 void store_outage::end(instant answered_again)
--- a/src/store_watch.cpp
+++ b/src/store_watch.cpp
@@ -169,7 +169,7 @@
     this->pause = {};
     this->answered = now;
     if (std::exchange(this->answering, true)) return;
-    const duration lost = now - this->failing.value_or(now);
+    const duration lost = this->failing ? now - this->failing->failed_at : duration::zero();
     log_event(log_level::info, "store_regained",
               {{"kind", name_of(this->followed)},
                {"first", this->failing ? 0 : 1},
@@ -180,7 +180,7 @@
 void store_watch::take_failure(std::uint64_t number, std::string_view reason, instant now)
 {
     if (!this->answers(number)) return;
-    if (!this->failing) this->failing = now;
+    if (!this->failing) this->failing = failed_call{this->asked_at, now};
     if (std::exchange(this->answering, false)) {
         log_event(log_level::warn, "store_lost",
                   {{"kind", name_of(this->followed)},
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -20,6 +20,7 @@
 
 #include "call_limit.h"
 #include "protocol.h"
+#include "store_outage.h"
 
 namespace worksshift {
 
@@ -108,8 +109,8 @@
     /** Whether the answer to the newest call is awaited. */
     [[nodiscard]] bool awaits() const { return this->awaiting; }
     [[nodiscard]] bool reachable() const { return this->answering; }
-    /** Since when calls fail; nothing: the last was answered, or none has ended. */
-    [[nodiscard]] std::optional<instant> failing_since() const { return this->failing; }
+    /** The first of the calls that fail; nothing: the last was answered, or none has ended. */
+    [[nodiscard]] const std::optional<failed_call>& failing_call() const { return this->failing; }
     /** When the store last answered any call; never: the epoch. */
     [[nodiscard]] instant answered_at() const { return this->answered; }
     /** When the store last answered a linearizable call; never: the epoch. */
@@ -137,7 +138,7 @@
     /** The list is to be linearizable: an older one would end in the same way. */
     bool fresh_list = false;
     bool answering = false;
-    std::optional<instant> failing;
+    std::optional<failed_call> failing;
     instant answered{};
     instant confirmed{};
     duration pause{};        ///< after the last failure; zero: it was answered since
--- a/test/correctness/store_outages_are_told_apart.cpp
+++ b/test/correctness/store_outages_are_told_apart.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(others_were_answered);
     CPPUNIT_TEST(too_short_for_entries_to_lapse);
     CPPUNIT_TEST(an_answer_before_the_loss_that_is_told_late);
+    CPPUNIT_TEST(a_call_of_the_last_outage_that_fails_late);
     CPPUNIT_TEST(each_outage_ends_anew);
     CPPUNIT_TEST_SUITE_END();
 
@@ -26,23 +27,28 @@
 
     static instant at(milliseconds since_start) { return start + since_start; }
 
+    /** Failed at once. */
+    static failed_call lost(instant when) { return {when, when}; }
+
+    static store_news confirmed(instant when) { return {none, when}; }
+
 public:
     /** Guards against a restart being taken for the store's return. */
     static void first_answer()
     {
         store_outage outage;
-        outage.update(std::nullopt, none, none);
-        outage.update(std::nullopt, at(milliseconds(20)), none);
+        outage.update(std::nullopt, none, {});
+        outage.update(std::nullopt, at(milliseconds(20)), {});
         CPPUNIT_ASSERT(outage.back_at() == none);
     }
 
     static void away_for_all()
     {
         store_outage outage;
-        outage.update(std::nullopt, start, at(milliseconds(-500)));
-        outage.update(at(milliseconds(1000)), start, at(milliseconds(-500)));
+        outage.update(std::nullopt, start, confirmed(at(milliseconds(-500))));
+        outage.update(lost(at(milliseconds(1000))), start, confirmed(at(milliseconds(-500))));
         CPPUNIT_ASSERT(outage.back_at() == none);
-        outage.update(std::nullopt, at(milliseconds(4000)), at(milliseconds(-500)));
+        outage.update(std::nullopt, at(milliseconds(4000)), confirmed(at(milliseconds(-500))));
         CPPUNIT_ASSERT(outage.back_at() == at(milliseconds(4000)));
     }
 
@@ -50,10 +56,10 @@
     static void back_for_another_vm_first()
     {
         store_outage outage;
-        outage.update(at(milliseconds(1000)), start, start);
-        outage.update(at(milliseconds(1000)), start, at(milliseconds(4000)));
+        outage.update(lost(at(milliseconds(1000))), start, confirmed(start));
+        outage.update(lost(at(milliseconds(1000))), start, confirmed(at(milliseconds(4000))));
         CPPUNIT_ASSERT(outage.back_at() == at(milliseconds(4000)));
-        outage.update(std::nullopt, at(milliseconds(8000)), at(milliseconds(4000)));
+        outage.update(std::nullopt, at(milliseconds(8000)), confirmed(at(milliseconds(4000))));
         CPPUNIT_ASSERT(outage.back_at() == at(milliseconds(4000)));
     }
 
@@ -61,20 +67,20 @@
     static void others_were_answered()
     {
         store_outage outage;
-        outage.update(std::nullopt, start, start);
-        const instant lost = at(milliseconds(1000));
+        outage.update(std::nullopt, start, confirmed(start));
+        const failed_call first = lost(at(milliseconds(1000)));
         for (int second = 1; second < 8; ++second)
-            outage.update(lost, start, at(seconds(second)));
-        outage.update(std::nullopt, at(seconds(8)), at(seconds(7)));
+            outage.update(first, start, confirmed(at(seconds(second))));
+        outage.update(std::nullopt, at(seconds(8)), confirmed(at(seconds(7))));
         CPPUNIT_ASSERT(outage.back_at() == none);
     }
 
     static void too_short_for_entries_to_lapse()
     {
         store_outage outage;
-        outage.update(std::nullopt, start, start);
-        outage.update(at(milliseconds(1000)), start, start);
-        outage.update(std::nullopt, at(milliseconds(1500)), start);
+        outage.update(std::nullopt, start, confirmed(start));
+        outage.update(lost(at(milliseconds(1000))), start, confirmed(start));
+        outage.update(std::nullopt, at(milliseconds(1500)), confirmed(start));
         CPPUNIT_ASSERT(outage.back_at() == none);
     }
 
@@ -82,20 +88,30 @@
     static void an_answer_before_the_loss_that_is_told_late()
     {
         store_outage outage;
-        outage.update(std::nullopt, start, start);
-        outage.update(at(milliseconds(1000)), start, at(milliseconds(1300)));
-        outage.update(std::nullopt, at(milliseconds(5000)), at(milliseconds(1300)));
+        outage.update(std::nullopt, start, confirmed(start));
+        outage.update(lost(at(milliseconds(1000))), start, confirmed(at(milliseconds(1300))));
+        outage.update(std::nullopt, at(milliseconds(5000)), confirmed(at(milliseconds(1300))));
         CPPUNIT_ASSERT(outage.back_at() == at(milliseconds(5000)));
     }
 
+    /** Guards against a long wait that was lost in an outage being taken for a second one. */
+    static void a_call_of_the_last_outage_that_fails_late()
+    {
+        store_outage outage;
+        const store_news back{at(milliseconds(4000)), at(milliseconds(4000))};
+        outage.update(std::nullopt, start, back);
+        outage.update(failed_call{start, at(milliseconds(7000))}, start, back);
+        outage.update(std::nullopt, at(milliseconds(7200)), back);
+        CPPUNIT_ASSERT(outage.back_at() == none);
+    }
+
     static void each_outage_ends_anew()
     {
         store_outage outage;
         for (int round = 0; round < 3; ++round) {
-            const instant lost = at(seconds(10 * round + 1));
             const instant back = at(seconds(10 * round + 5));
-            outage.update(lost, at(seconds(10 * round)), none);
-            outage.update(std::nullopt, back, none);
+            outage.update(lost(at(seconds(10 * round + 1))), at(seconds(10 * round)), {});
+            outage.update(std::nullopt, back, {});
             CPPUNIT_ASSERT(outage.back_at() == back);
         }
     }
--- a/test/support/store_fleet.cpp
+++ b/test/support/store_fleet.cpp
@@ -267,8 +267,8 @@
     const instant now = this->fleet.now;
     const std::uint64_t revision = item.feed.revision();
     const std::uint64_t version = item.version;
-    item.outage.update(item.servers.watch.failing_since(), item.servers.watch.answered_at(),
-                       digests.rounds.fleet().store().confirmed_at);
+    item.outage.update(item.servers.watch.failing_call(), item.servers.watch.answered_at(),
+                       digests.rounds.fleet().store());
     digests.store = {item.outage.back_at(), item.servers.watch.confirmed_at()};
     digests.store_answers = item.servers.watch.reachable();
     const std::optional<read_mode> mode = digests.duty.mode();
