A VM that hears nobody cannot tell whether the store was away

Cause: a VM that was cut off from the store and from the other VMs did not know that these were answered all the while, and told them that the store was back.

Evidence: when_one_vm_was_cut_off_from_all failed before (7 of 7 VMs use a server 2 s after it left).

--- a/src/fleet_table.cpp
+++ b/src/fleet_table.cpp
@@ -164,6 +164,11 @@
     return this->hearing_since == instant{} || now - this->heard_any_at >= joining_for;
 }
 
+bool fleet_table::is_cut_off(instant now) const
+{
+    return this->hearing_since != instant{} && now - this->heard_any_at > silent_after_at_least;
+}
+
 fleet_members fleet_table::members(instant now) const
 {
     fleet_members found;
--- a/src/fleet_table.h
+++ b/src/fleet_table.h
@@ -89,6 +89,8 @@
     /** The VMs of this data centre that are remembered, those that were lost lately included, and
      * the data centres that are known by their VMs. */
     [[nodiscard]] fleet_members members(instant now) const;
+    /** There are other VMs, and none of them was heard lately. */
+    [[nodiscard]] bool is_cut_off(instant now) const;
     [[nodiscard]] const store_news& store() const { return this->store_heard; }
     /** Highest revision of the registry that was heard of. */
     [[nodiscard]] std::uint64_t servers_revision() const { return this->newest_servers; }
--- a/src/registry_follower.cpp
+++ b/src/registry_follower.cpp
@@ -62,7 +62,7 @@
     this->calls.proceed();
     if (this->follow.fetching.due(now)) this->ask_peer(now);
     this->outage.update(this->follow.watch.failing_call(), this->follow.watch.answered_at(),
-                        this->gossip.fleet().store());
+                        this->gossip.fleet().store(), this->gossip.fleet().is_cut_off(now));
     this->registry.sweep(now, this->store().back_at);
 }
 
--- a/src/store_outage.cpp
+++ b/src/store_outage.cpp
@@ -7,14 +7,18 @@
 namespace worksshift {
 
 void store_outage::update(const std::optional<failed_call>& failing, instant answered_here,
-                          const store_news& elsewhere)
+                          const store_news& elsewhere, bool cut_off)
 {
     // A call that was made before the store's return was lost in the outage that is over.
     const instant known_back = std::max(this->back, elsewhere.back_at);
     const bool lost_anew = failing && failing != this->failing && failing->asked_at > known_back;
-    if (lost_anew) this->noticed = failing->failed_at;
+    if (lost_anew) {
+        this->noticed = failing->failed_at;
+        this->was_cut_off = false;
+    }
     this->failing = failing;
     if (this->noticed) {
+        this->was_cut_off = this->was_cut_off || cut_off;
         const bool answered_others = elsewhere.confirmed_at > *this->noticed + told_late_by;
         if (answered_others) {
             this->end(elsewhere.confirmed_at);
@@ -28,10 +32,11 @@
 void store_outage::end(instant answered_again)
 {
     const duration unanswered = answered_again - this->answered;
-    const bool away = unanswered >= shortest_outage;
+    const bool away = unanswered >= shortest_outage && !this->was_cut_off;
     if (away) this->back = answered_again;
     log_event(log_level::info, "store_outage_over",
               {{"outcome", away ? "store_back" : "own_way"},
+               {"cut_off", this->was_cut_off ? 1 : 0},
                {"unanswered_ms", unanswered / milliseconds(1)}});
     this->noticed.reset();
 }
--- a/src/store_outage.h
+++ b/src/store_outage.h
@@ -54,9 +54,9 @@
 
     /** \p failing: the first of the calls that fail; nothing: they do not, or none was made yet.
      * \p answered_here: when the store last answered this VM; never: the epoch. \p elsewhere: what
-     * the other VMs tell. */
+     * the other VMs tell. \p cut_off: they are not heard, so that the fault may be this VM's. */
     void update(const std::optional<failed_call>& failing, instant answered_here,
-                const store_news& elsewhere);
+                const store_news& elsewhere, bool cut_off);
 
     /** When the store last came back; never: the epoch. */
     [[nodiscard]] instant back_at() const { return this->back; }
@@ -66,6 +66,7 @@
 
     std::optional<instant> noticed;     ///< the newest loss, as long as nobody was answered since
     std::optional<failed_call> failing; ///< as last told
+    bool was_cut_off = false;           ///< since the newest loss
     instant answered{};                 ///< the newest answer to anybody
     instant back{};
 };
--- a/test/correctness/store_outages_are_told_apart.cpp
+++ b/test/correctness/store_outages_are_told_apart.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(away_for_all);
     CPPUNIT_TEST(back_for_another_vm_first);
     CPPUNIT_TEST(others_were_answered);
+    CPPUNIT_TEST(this_vm_was_cut_off);
     CPPUNIT_TEST(too_short_for_entries_to_lapse);
     CPPUNIT_TEST(an_answer_before_the_loss_that_is_told_late);
     CPPUNIT_TEST(a_call_of_the_last_outage_that_fails_late);
@@ -37,18 +38,20 @@
     static void first_answer()
     {
         store_outage outage;
-        outage.update(std::nullopt, none, {});
-        outage.update(std::nullopt, at(milliseconds(20)), {});
+        outage.update(std::nullopt, none, {}, false);
+        outage.update(std::nullopt, at(milliseconds(20)), {}, false);
         CPPUNIT_ASSERT(outage.back_at() == none);
     }
 
     static void away_for_all()
     {
         store_outage outage;
-        outage.update(std::nullopt, start, confirmed(at(milliseconds(-500))));
-        outage.update(lost(at(milliseconds(1000))), start, confirmed(at(milliseconds(-500))));
+        outage.update(std::nullopt, start, confirmed(at(milliseconds(-500))), false);
+        outage.update(lost(at(milliseconds(1000))), start, confirmed(at(milliseconds(-500))),
+                      false);
         CPPUNIT_ASSERT(outage.back_at() == none);
-        outage.update(std::nullopt, at(milliseconds(4000)), confirmed(at(milliseconds(-500))));
+        outage.update(std::nullopt, at(milliseconds(4000)), confirmed(at(milliseconds(-500))),
+                      false);
         CPPUNIT_ASSERT(outage.back_at() == at(milliseconds(4000)));
     }
 
@@ -56,10 +59,12 @@
     static void back_for_another_vm_first()
     {
         store_outage outage;
-        outage.update(lost(at(milliseconds(1000))), start, confirmed(start));
-        outage.update(lost(at(milliseconds(1000))), start, confirmed(at(milliseconds(4000))));
+        outage.update(lost(at(milliseconds(1000))), start, confirmed(start), false);
+        outage.update(lost(at(milliseconds(1000))), start, confirmed(at(milliseconds(4000))),
+                      false);
         CPPUNIT_ASSERT(outage.back_at() == at(milliseconds(4000)));
-        outage.update(std::nullopt, at(milliseconds(8000)), confirmed(at(milliseconds(4000))));
+        outage.update(std::nullopt, at(milliseconds(8000)), confirmed(at(milliseconds(4000))),
+                      false);
         CPPUNIT_ASSERT(outage.back_at() == at(milliseconds(4000)));
     }
 
@@ -67,20 +72,30 @@
     static void others_were_answered()
     {
         store_outage outage;
-        outage.update(std::nullopt, start, confirmed(start));
+        outage.update(std::nullopt, start, confirmed(start), false);
         const failed_call first = lost(at(milliseconds(1000)));
         for (int second = 1; second < 8; ++second)
-            outage.update(first, start, confirmed(at(seconds(second))));
-        outage.update(std::nullopt, at(seconds(8)), confirmed(at(seconds(7))));
+            outage.update(first, start, confirmed(at(seconds(second))), false);
+        outage.update(std::nullopt, at(seconds(8)), confirmed(at(seconds(7))), false);
+        CPPUNIT_ASSERT(outage.back_at() == none);
+    }
+
+    /** Guards against a VM that nobody could tell that the store answers others. */
+    static void this_vm_was_cut_off()
+    {
+        store_outage outage;
+        outage.update(std::nullopt, start, confirmed(start), false);
+        outage.update(lost(at(milliseconds(1000))), start, confirmed(start), true);
+        outage.update(std::nullopt, at(seconds(8)), confirmed(start), false);
         CPPUNIT_ASSERT(outage.back_at() == none);
     }
 
     static void too_short_for_entries_to_lapse()
     {
         store_outage outage;
-        outage.update(std::nullopt, start, confirmed(start));
-        outage.update(lost(at(milliseconds(1000))), start, confirmed(start));
-        outage.update(std::nullopt, at(milliseconds(1500)), confirmed(start));
+        outage.update(std::nullopt, start, confirmed(start), false);
+        outage.update(lost(at(milliseconds(1000))), start, confirmed(start), false);
+        outage.update(std::nullopt, at(milliseconds(1500)), confirmed(start), false);
         CPPUNIT_ASSERT(outage.back_at() == none);
     }
 
@@ -88,9 +103,11 @@
     static void an_answer_before_the_loss_that_is_told_late()
     {
         store_outage outage;
-        outage.update(std::nullopt, start, confirmed(start));
-        outage.update(lost(at(milliseconds(1000))), start, confirmed(at(milliseconds(1300))));
-        outage.update(std::nullopt, at(milliseconds(5000)), confirmed(at(milliseconds(1300))));
+        outage.update(std::nullopt, start, confirmed(start), false);
+        outage.update(lost(at(milliseconds(1000))), start, confirmed(at(milliseconds(1300))),
+                      false);
+        outage.update(std::nullopt, at(milliseconds(5000)), confirmed(at(milliseconds(1300))),
+                      false);
         CPPUNIT_ASSERT(outage.back_at() == at(milliseconds(5000)));
     }
 
@@ -99,9 +116,9 @@
     {
         store_outage outage;
         const store_news back{at(milliseconds(4000)), at(milliseconds(4000))};
-        outage.update(std::nullopt, start, back);
-        outage.update(failed_call{start, at(milliseconds(7000))}, start, back);
-        outage.update(std::nullopt, at(milliseconds(7200)), back);
+        outage.update(std::nullopt, start, back, false);
+        outage.update(failed_call{start, at(milliseconds(7000))}, start, back, false);
+        outage.update(std::nullopt, at(milliseconds(7200)), back, false);
         CPPUNIT_ASSERT(outage.back_at() == none);
     }
 
@@ -110,8 +127,8 @@
         store_outage outage;
         for (int round = 0; round < 3; ++round) {
             const instant back = at(seconds(10 * round + 5));
-            outage.update(lost(at(seconds(10 * round + 1))), at(seconds(10 * round)), {});
-            outage.update(std::nullopt, back, {});
+            outage.update(lost(at(seconds(10 * round + 1))), at(seconds(10 * round)), {}, false);
+            outage.update(std::nullopt, back, {}, false);
             CPPUNIT_ASSERT(outage.back_at() == back);
         }
     }
--- a/test/fuzz/leaving_servers_get_nothing_new.cpp
+++ b/test/fuzz/leaving_servers_get_nothing_new.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(while_vms_restart);
     CPPUNIT_TEST(when_most_of_a_service_leaves_while_vms_restart);
     CPPUNIT_TEST(when_one_vm_comes_back_to_the_store);
+    CPPUNIT_TEST(when_one_vm_was_cut_off_from_all);
     CPPUNIT_TEST(lapsed_entries_are_kept_by_all_vms);
     CPPUNIT_TEST(lapsed_entries_that_stay_away_are_gone);
     CPPUNIT_TEST(learnt_late_from_another_vm);
@@ -181,6 +182,31 @@
         }
     }
 
+    /** Guards against the same of a VM that could not hear that the store answers others. */
+    static void when_one_vm_was_cut_off_from_all()
+    {
+        for (const fleet_size& size : fleet_sizes) {
+            const auto fleet = make_fleet(size);
+            const auto& vms = fleet->fleet.vms;
+            const std::size_t cut_off =
+                std::ranges::find_if(vms, [](const auto& entry) {
+                    return entry.second.duty.mode() == read_mode::linearizable;
+                })->first;
+            for (std::size_t vm = 0; vm < size.vms; ++vm)
+                fleet->fleet.cut.insert(std::minmax(vm, cut_off));
+            fleet->store.refused.insert(cut_off);
+            fleet->run(seconds(4));
+            fleet->store.refused.clear();
+            fleet->run(milliseconds(900));
+            fleet->fleet.cut.clear();
+            for (std::size_t server = 0; server + 1 < servers_of_small_service; ++server)
+                fleet->remove_server(name_of(server));
+            fleet->run(promised_within);
+            const std::size_t users = fleet->vms_using(name_of(0));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(at(size), std::size_t{0}, users);
+        }
+    }
+
     /** Guards against dropping a whole service whose servers could not write to the store. */
     static void lapsed_entries_are_kept_by_all_vms()
     {
--- a/test/support/store_fleet.cpp
+++ b/test/support/store_fleet.cpp
@@ -268,7 +268,7 @@
     const std::uint64_t revision = item.feed.revision();
     const std::uint64_t version = item.version;
     item.outage.update(item.servers.watch.failing_call(), item.servers.watch.answered_at(),
-                       digests.rounds.fleet().store());
+                       digests.rounds.fleet().store(), digests.rounds.fleet().is_cut_off(now));
     digests.store = {item.outage.back_at(), item.servers.watch.confirmed_at()};
     digests.store_answers = item.servers.watch.reachable();
     const std::optional<read_mode> mode = digests.duty.mode();
