Entries that lapse together are counted once in a pass, not once for each of them

Callers: on the target size, after an outage in which all entries lapse, each VM stands still for the 2.3 s that they are kept.

Cause: each missing entry counted all servers of its service anew, in each pass of the loop.

--- a/src/server_registry.cpp
+++ b/src/server_registry.cpp
@@ -63,9 +63,10 @@
     std::visit(
         visitor{[&](const told_by_store& store) { entry.as_it_happened = store.as_it_happens; },
                 [&](const told_by_vm& vm) {
-                    const auto found = std::ranges::find(vm.kept, id.text, &kept_server::name);
+                    const auto found =
+                        std::ranges::lower_bound(vm.kept, id.text, {}, &kept_server::name);
                     entry.as_it_happened = true;
-                    if (found == vm.kept.end()) {
+                    if (found == vm.kept.end() || found->name != id.text) {
                         entry.left = true;
                     } else {
                         entry.since = vm.asked_at - milliseconds(found->missing_ms);
@@ -163,20 +164,29 @@
     this->on_leaving.emit(id);
 }
 
-/** Whether so many servers of the service went that their entries must have lapsed. */
-bool server_registry::lapsed_together(const service_id& service) const
+/** The services of which so many servers went that their entries must have lapsed. */
+std::set<service_id> server_registry::lapsed_together() const
 {
-    std::size_t all = 0;
-    std::size_t lapsed = 0;
+    struct sum {
+        std::size_t all = 0;
+        std::size_t lapsed = 0;
+    };
+    std::map<service_id, sum> sums;
     for (const auto& [id, row] : this->table.rows()) {
-        if (row.gone || row.record.service != service) continue;
+        if (row.gone) continue;
         const auto found = this->missing.find(id);
         const bool is_missing = found != this->missing.end();
         if (is_missing && found->second.left) continue;
-        ++all;
-        if (is_missing) ++lapsed;
+        sum& of_service = sums[row.record.service];
+        ++of_service.all;
+        if (is_missing) ++of_service.lapsed;
     }
-    return static_cast<double>(lapsed) > lapsed_share * static_cast<double>(all);
+    std::set<service_id> services;
+    for (const auto& [service, counted] : sums) {
+        const double all = static_cast<double>(counted.all);
+        if (static_cast<double>(counted.lapsed) > lapsed_share * all) services.insert(service);
+    }
+    return services;
 }
 
 /** \p together: with most of its service. */
@@ -192,10 +202,13 @@
 
 void server_registry::sweep(instant now, instant store_back)
 {
+    this->log_unreadable(now);
+    if (this->missing.empty()) return;
+    const std::set<service_id> lapsed = this->lapsed_together();
     std::vector<std::pair<server_id, duration>> over;
     for (auto& [id, entry] : this->missing) {
         const server_entry* row = this->table.find(id);
-        const bool together = row != nullptr && this->lapsed_together(row->record.service);
+        const bool together = row != nullptr && lapsed.contains(row->record.service);
         const instant until = used_until(entry, together, store_back);
         if (now >= until) {
             over.emplace_back(id, now - entry.since);
@@ -211,7 +224,6 @@
         this->missing.erase(id);
         this->remove(id, kept);
     }
-    this->log_unreadable(now);
 }
 
 } // namespace worksshift
--- a/src/server_registry.h
+++ b/src/server_registry.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <span>
 #include <variant>
 #include <vector>
@@ -108,7 +109,7 @@
     void log_unreadable(instant now);
     [[nodiscard]] bool is_former(const stored_object& removal) const;
     void remove(const server_id& id, duration kept);
-    [[nodiscard]] bool lapsed_together(const service_id& service) const;
+    [[nodiscard]] std::set<service_id> lapsed_together() const;
 
     server_table& table;
     const protocol& dialect;
