Log what retry budget is left and the fleet's size it is reckoned with

Cause: an attempt line did not say whether the budget allowed or withheld a retry, so a forgotten use could not be told from a wrong fleet size. Change: budget_left and vms on attempt lines, worksshift_retries_withheld_total. What is decided is the same.

--- a/src/fleet_retry_budget.h
+++ b/src/fleet_retry_budget.h
@@ -29,10 +29,8 @@
 
     void on_request(instant now) { this->requests.push_back(now); }
 
-    /** Takes one retry out of the budget. Returns false if there is none. \p vms: size of the
-     * fleet.
-     */
-    bool withdraw(instant now, const fleet_retry_settings& settings, std::size_t vms)
+    /** Retries that may be sent now. \p vms: size of the fleet. */
+    double available(instant now, const fleet_retry_settings& settings, std::size_t vms)
     {
         this->expire(now - settings.window);
         const double own_slack =
@@ -40,7 +38,13 @@
         const double allowed =
             allowance_safety_factor *
             (settings.ratio * static_cast<double>(this->requests.size()) + own_slack);
-        if (static_cast<double>(this->retries.size()) + 1 > allowed) return false;
+        return allowed - static_cast<double>(this->retries.size());
+    }
+
+    /** Takes one retry out of the budget. Returns false if there is none. */
+    bool withdraw(instant now, const fleet_retry_settings& settings, std::size_t vms)
+    {
+        if (this->available(now, settings, vms) < 1) return false;
         this->retries.push_back(now);
         return true;
     }
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -565,7 +565,10 @@
     if (may_have_run &&
         (!request.matched_route->repeatable() || request.runs >= request.max_runs()))
         return false;
-    return this->budgets[request.service].withdraw(time, this->budget_settings, this->fleet_size);
+    if (this->budgets[request.service].withdraw(time, this->budget_settings, this->fleet_size))
+        return true;
+    this->telemetry.count("worksshift_retries_withheld_total");
+    return false;
 }
 
 void request_path::retry_or_fail(live_request& request, bool may_have_run, const char* step,
@@ -777,21 +780,26 @@
 }
 
 void request_path::log_attempt(const live_request& request, std::string_view outcome,
-                               std::string_view step, std::string_view detail) const
+                               std::string_view step, std::string_view detail)
 {
+    const instant time = now();
+    const double budget_left =
+        this->budgets[request.service].available(time, this->budget_settings, this->fleet_size);
     log_event(log_level::info, "attempt",
               {{"request", request.metadata.id},
                {"outcome", outcome},
                {"step", step},
                {"detail", detail},
                {"content", to_text(request.content)},
-               {"ran_ms", in_ms(now() - request.attempt_started_at)},
+               {"ran_ms", in_ms(time - request.attempt_started_at)},
                {"relay", request.relayed_by == 0 ? std::string() : to_text(request.relayed_by)},
                {"server",
                 request.tried_servers.empty() ? std::string() : request.tried_servers.back().text},
                {"send", request.sends},
                {"runs", request.runs},
-               {"left_ms", in_ms(request.deadline - now())}});
+               {"budget_left", budget_left},
+               {"vms", this->fleet_size},
+               {"left_ms", in_ms(request.deadline - time)}});
 }
 
 } // namespace worksshift
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -165,7 +165,7 @@
     void check_reach(instant now);
 
     void log_attempt(const live_request& request, std::string_view outcome, std::string_view step,
-                     std::string_view detail) const;
+                     std::string_view detail);
 
     caller_connections& callers;
     server_connections& servers;
