--- a/src/fleet_digest.cpp
+++ b/src/fleet_digest.cpp
@@ -107,7 +107,9 @@
     save_items(archive, item.blocked);
     save_items(archive, item.leaving_servers);
     save_items(archive, item.vms);
-    if (!item.rejections.empty()) save_items(archive, item.rejections);
+    if (item.rejections.empty() && item.fleet_vms == 0) return;
+    save_items(archive, item.rejections);
+    if (item.fleet_vms != 0) archive(item.fleet_vms);
 }
 
 template <class Archive>
@@ -145,8 +147,11 @@
         cereal::PortableBinaryInputArchive archive(stream);
         fleet_digest digest;
         archive(digest);
-        const bool has_rejections = stream.peek() != std::istringstream::traits_type::eof();
-        if (has_rejections) load_items(archive, digest.rejections);
+        const auto has_more = [&stream] {
+            return stream.peek() != std::istringstream::traits_type::eof();
+        };
+        if (has_more()) load_items(archive, digest.rejections);
+        if (has_more()) archive(digest.fleet_vms);
         return digest;
     } catch (const std::exception& fault) {
         throw peer_error("digest", peer, fault.what());
--- a/src/fleet_digest.h
+++ b/src/fleet_digest.h
@@ -150,6 +150,9 @@
     /** Since the sender's last digest. Encoded only if there are any, so that VMs that do not know
      * the field can decode all other digests. */
     std::vector<rejection_report> rejections;
+    /** Largest number of VMs that the sender itself has counted recently; 0: not reported. Comes
+     * after `rejections`, where VMs that do not know the field ignore it. */
+    std::uint16_t fleet_vms = 0;
 };
 
 std::string encode(const fleet_digest& digest);
--- a/src/fleet_rounds.cpp
+++ b/src/fleet_rounds.cpp
@@ -1,6 +1,7 @@
 #include "fleet_rounds.h"
 
 #include <algorithm>
+#include <limits>
 #include <numeric>
 #include <utility>
 
@@ -36,6 +37,9 @@
     digest.data_centre = this->table.self().data_centre;
     digest.period_ms = static_cast<std::uint16_t>(this->round_period / milliseconds(1));
     digest.joining = this->table.is_joining(now);
+    this->table.count_vms(now);
+    digest.fleet_vms = static_cast<std::uint16_t>(std::min<std::size_t>(
+        this->table.counted_vms(), std::numeric_limits<std::uint16_t>::max()));
     std::vector<outgoing_digest> messages;
     messages.push_back(this->make_local_digest(digest, now));
     digest.crash_reports = std::move(state.remote_crash_reports);
--- a/src/fleet_table.cpp
+++ b/src/fleet_table.cpp
@@ -94,6 +94,8 @@
     vm.last_received_at = now;
     if (this->receives_nothing(now)) this->receiving_since = now;
     this->last_digest_at = now;
+    if (this->first_digest_at == instant{}) this->first_digest_at = now;
+    this->reported.add(digest.fleet_vms, now);
     this->reported_store.merge(
         {from_age(digest.store_restored_age, store_restored_age_unit, now),
          from_age(digest.store_confirmed_age, store_confirmed_age_unit, now)});
@@ -160,6 +162,13 @@
     return static_cast<std::size_t>(others) + 1;
 }
 
+fleet_size fleet_table::size(instant now) const
+{
+    const instant known_since = this->first_digest_at + fleet_size_settle_period;
+    if (this->first_digest_at == instant{} || now < known_since) return {};
+    return {std::max(this->counted.value(), this->reported.value()), known_since};
+}
+
 bool fleet_table::is_joining(instant now) const
 {
     return now - this->started_at < joining_period || this->receives_nothing(now);
--- a/src/fleet_table.h
+++ b/src/fleet_table.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "cold_servers.h"
+#include "fleet_size.h"
 #include "ids.h"
 #include "load_tables.h"
 #include "store_outage.h"
@@ -45,6 +46,10 @@
  * discover two more per second. */
 constexpr duration membership_settle_period = seconds(3);
 
+/** How long a VM receives digests before it relies on the fleet's size that it knows. In a fleet of
+ * 480 VMs that all start at once, each is told the true size within 500 ms. */
+constexpr duration fleet_size_settle_period = seconds(2);
+
 /** One other VM. */
 struct fleet_vm {
     std::uint32_t address = 0;     ///< IPv4, host order
@@ -92,6 +97,13 @@
     [[nodiscard]] std::vector<const fleet_vm*> responsive_vms(instant now) const;
     /** Number of VMs that are alive, including this one. */
     [[nodiscard]] std::size_t alive_count(instant now) const;
+    /** Counts the VMs that are alive, for `counted_vms` and `size`. */
+    void count_vms(instant now) { this->counted.add(this->alive_count(now), now); }
+    /** The most VMs that this VM has counted recently. */
+    [[nodiscard]] std::size_t counted_vms() const { return this->counted.value(); }
+    /** The most VMs that any VM has counted recently. Not known to a VM that has received no digest
+     * yet: it may be cut off from the others. */
+    [[nodiscard]] fleet_size size(instant now) const;
     /** Whether this VM asks for replies to its digests; see `joining_period`. */
     [[nodiscard]] bool is_joining(instant now) const;
     /** The VMs of this data centre in the table, including recently lost ones, and the data centres
@@ -121,6 +133,7 @@
     identity own;
     std::vector<std::uint32_t> seeds;
     instant started_at{};
+    instant first_digest_at{}; ///< the epoch: none yet
     instant last_digest_at{};
     instant local_vm_discovered_at{}; ///< when a new VM of this data centre was last discovered
     instant receiving_since{};        ///< digests arrive without a long gap; the epoch: none yet
@@ -129,6 +142,8 @@
     std::size_t liveness_report_calls = 0;
     store_status reported_store;
     std::uint64_t max_servers_revision = 0;
+    recent_maximum counted;  ///< VMs that were alive
+    recent_maximum reported; ///< VMs that others counted
 };
 
 } // namespace worksshift
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -167,7 +167,8 @@
         this->telemetry.count("worksshift_ignored_resumptions_total");
     }
     // The VM that relays a request counts it, so that it adds to the fleet's budget once.
-    if (!request.from_vm) this->budgets[request.service].on_request(request.arrived_at);
+    if (!request.from_vm)
+        this->budgets[request.service].on_request(request.arrived_at, this->budget_settings);
     return true;
 }
 
@@ -565,7 +566,7 @@
     if (may_have_run &&
         (!request.matched_route->repeatable() || request.runs >= request.max_runs()))
         return false;
-    if (this->budgets[request.service].withdraw(time, this->budget_settings, this->fleet_size))
+    if (this->budgets[request.service].withdraw(time, this->budget_settings, this->fleet))
         return true;
     this->telemetry.count("worksshift_retries_withheld_total");
     return false;
@@ -756,6 +757,8 @@
         request->arrived_at -= span;
         request->deadline -= span;
     }
+    for (auto& [service, budget] : this->budgets)
+        budget.on_suspended(span);
 }
 
 void request_path::tick(instant time)
@@ -784,7 +787,7 @@
 {
     const instant time = now();
     const double budget_left =
-        this->budgets[request.service].available(time, this->budget_settings, this->fleet_size);
+        this->budgets[request.service].available(time, this->budget_settings, this->fleet);
     log_event(log_level::info, "attempt",
               {{"request", request.metadata.id},
                {"outcome", outcome},
@@ -798,7 +801,7 @@
                {"send", request.sends},
                {"runs", request.runs},
                {"budget_left", budget_left},
-               {"vms", this->fleet_size},
+               {"vms", this->fleet.vms},
                {"left_ms", in_ms(request.deadline - time)}});
 }
 
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -81,7 +81,7 @@
     {
         this->budget_settings = settings;
     }
-    void set_fleet_size(std::size_t vms) { this->fleet_size = std::max(this->fleet_size, vms); }
+    void set_fleet_size(const fleet_size& size) { this->fleet = size; }
 
     /** The VM was suspended for \p span, which the clock used for deadlines did not count. */
     void on_suspended(duration span);
@@ -176,7 +176,7 @@
     metrics& telemetry;
     router_config_ptr config;
     fleet_retry_settings budget_settings;
-    std::size_t fleet_size = 1; ///< VMs
+    fleet_size fleet;
     std::unordered_map<std::uint64_t, std::unique_ptr<live_request>> requests;
     std::map<service_id, fleet_retry_budget> budgets;
     std::vector<std::uint64_t> finished;        ///< erased in the next tick
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -290,7 +290,7 @@
     if (time - this->loads_summed_at < load_sum_period) return;
     this->loads_summed_at = time;
     const std::size_t alive = this->gossip.fleet().alive_count(time);
-    this->path.set_fleet_size(alive);
+    this->path.set_fleet_size(this->gossip.fleet().size(time));
     this->path.admissions().set_fleet_demand_multiple(this->fleet_demand_ratio(alive, time));
     if (!std::exchange(this->loads_changed, false) &&
         !this->gossip.fleet().responsive_vms(time).empty()) {
--- a/test/fuzz/digests_reach_every_vm.cpp
+++ b/test/fuzz/digests_reach_every_vm.cpp
@@ -61,6 +61,9 @@
     CPPUNIT_TEST(new_incarnation_starts_without_loads);
     CPPUNIT_TEST(digest_is_unchanged_by_encoding);
     CPPUNIT_TEST(rejections_are_optional);
+    CPPUNIT_TEST(fleet_size_is_optional);
+    CPPUNIT_TEST(fleet_size);
+    CPPUNIT_TEST(fleet_size_is_kept_while_vms_cannot_see_each_other);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -266,6 +269,61 @@
         for (std::size_t size = without.size() + 1; size < with.size(); ++size)
             CPPUNIT_ASSERT_THROW(decode_digest(with.substr(0, size), "vm"), peer_error);
     }
+
+    /** Guards against a fleet size that VMs which do not know the field cannot skip, or that is
+     * taken from a truncated digest. */
+    static void fleet_size_is_optional()
+    {
+        fleet_digest digest;
+        digest.rejections = {{11, 3, 5}};
+        const std::string without = encode(digest);
+        digest.fleet_vms = 480;
+        const std::string with = encode(digest);
+        CPPUNIT_ASSERT(with.starts_with(without));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{480}, decode_digest(with, "vm").fleet_vms);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, decode_digest(without, "vm").fleet_vms);
+        CPPUNIT_ASSERT_THROW(decode_digest(with.substr(0, with.size() - 1), "vm"), peer_error);
+        digest.rejections.clear();
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{480}, decode_digest(encode(digest), "vm").fleet_vms);
+    }
+
+    /** Guards against limits of the fleet that are divided by too few VMs after all have started,
+     * or by a VM that has not heard of any other. */
+    static void fleet_size()
+    {
+        digest_fleet fleet(65, 4, 1);
+        const auto size = [&](std::size_t vm) {
+            return fleet.vms.at(vm).rounds.fleet().size(fleet.now);
+        };
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, size(40).vms);
+        fleet.run(seconds(3));
+        for (const auto& [vm, item] : fleet.vms)
+            CPPUNIT_ASSERT_EQUAL(std::size_t{65}, size(vm).vms);
+        for (std::size_t other = 0; other < 65; ++other)
+            fleet.cut.insert(std::minmax<std::size_t>(40, other));
+        fleet.kill(40);
+        fleet.start(40);
+        fleet.run(seconds(20));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, size(40).vms);
+    }
+
+    /** Guards against VMs that take the parts of those which they cannot see for a while. */
+    static void fleet_size_is_kept_while_vms_cannot_see_each_other()
+    {
+        digest_fleet fleet(8, 2, 1);
+        fleet.run(seconds(4));
+        for (std::size_t vm = 0; vm < 8; ++vm) {
+            for (std::size_t other = vm + 1; other < 8; ++other) {
+                if (vm % 2 != other % 2) fleet.cut.emplace(vm, other);
+            }
+        }
+        fleet.run(seconds(90));
+        fleet.kill(3);
+        fleet.start(3);
+        fleet.run(seconds(3));
+        for (const auto& [vm, item] : fleet.vms)
+            CPPUNIT_ASSERT_EQUAL(std::size_t{8}, item.rounds.fleet().size(fleet.now).vms);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(digests_reach_every_vm);
--- a/test/support/path_rig.cpp
+++ b/test/support/path_rig.cpp
@@ -172,6 +172,7 @@
           this->path->tick(now);
       })
 {
+    this->path->set_fleet_size({1, instant{}});
     constexpr duration tick_period = milliseconds(5);
     this->ticker.start_every(tick_period);
 }
