--- a/test/support/path_rig.cpp
+++ b/test/support/path_rig.cpp
@@ -178,16 +178,12 @@
 }
 
 scripted_server& path_rig::add_server(const std::string& id, const std::string& service,
-                                      scripted_server::script answer)
+                                      scripted_server::script answer, const std::string& version)
 {
     this->servers.push_back(std::make_unique<scripted_server>(this->base.get(), std::move(answer)));
-    server_record record;
-    record.id.text = id;
-    record.service.text = service;
-    record.address = this->servers.back()->address();
-    record.data_centre.text = "dc";
-    record.slots = 4;
-    this->table.put(record);
+    constexpr std::uint32_t slots = 4;
+    this->table.put(example_record(this->adapter, id, service, this->servers.back()->address(),
+                                   version, slots));
     return *this->servers.back();
 }
 
@@ -221,6 +217,19 @@
     this->run_until([limit] { return std::chrono::steady_clock::now() > limit; });
 }
 
+server_record example_record(const protocol& adapter, const std::string& id,
+                             const std::string& service, const link_address& address,
+                             const std::string& version, std::uint32_t slots)
+{
+    stored_object entry;
+    entry.name = id;
+    entry.document = R"({"service":")" + service + R"(","address":")" + to_string(address) +
+                     R"(","zone":"dc","version":")" + version + R"(","slots":)" +
+                     std::to_string(slots) +
+                     R"(,"state":"ready","coldRemainingMs":0,"sequence":1})";
+    return adapter.decode_server(entry);
+}
+
 std::string example_config(std::uint64_t version)
 {
     const auto route = [](const std::string& name, const std::string& kind,
--- a/test/support/path_rig.h
+++ b/test/support/path_rig.h
@@ -86,9 +86,10 @@
 public:
     path_rig();
 
-    /** Adds a server of \p service that answers with \p answer. The fixture owns it. */
+    /** Adds a server of \p service that answers with \p answer. The fixture owns it. \p version:
+     * of its software. */
     scripted_server& add_server(const std::string& id, const std::string& service,
-                                scripted_server::script answer);
+                                scripted_server::script answer, const std::string& version = "v1");
     raw_caller& add_caller();
     [[nodiscard]] std::vector<const scripted_server*> all_servers() const;
     /** Runs the loop until \p done. Returns false if that takes more than five seconds. */
@@ -111,6 +112,11 @@
     std::vector<std::unique_ptr<raw_caller>> raw_callers;
 };
 
+/** The record of a server, decoded from a registry entry. */
+worksshift::server_record example_record(const worksshift::protocol& adapter, const std::string& id,
+                                         const std::string& service,
+                                         const worksshift::link_address& address,
+                                         const std::string& version, std::uint32_t slots);
 /** A configuration in the store's format: routes /safe/, /unsafe/, /stream/ (resumable), /once/ (a
  * stream that is not resumable), /safe/nested/ (one attempt) and /open/ (no key); key `k1` of
  * account `one`. */
--- a/test/support/vm_group.cpp
+++ b/test/support/vm_group.cpp
@@ -85,19 +85,16 @@
 }
 
 scripted_server& vm_group::add_server(const std::string& id, const std::string& service,
-                                      scripted_server::script answer)
+                                      scripted_server::script answer, const std::string& version)
 {
     this->servers.push_back(std::make_unique<scripted_server>(this->base.get(), std::move(answer)));
     for (const auto& vm : this->vms) {
         vm->proxies.push_back({service, std::make_unique<loopback_proxy>(
                                             this->base.get(), this->servers.back()->address())});
-        server_record record;
-        record.id.text = id;
-        record.service.text = service;
-        record.address = vm->proxies.back().proxy->address();
-        record.data_centre.text = "dc";
-        record.slots = 8;
-        vm->table.put(record, std::chrono::steady_clock::now());
+        constexpr std::uint32_t slots = 8;
+        vm->table.put(example_record(this->adapter, id, service,
+                                     vm->proxies.back().proxy->address(), version, slots),
+                      std::chrono::steady_clock::now());
     }
     return *this->servers.back();
 }
--- a/test/support/vm_group.h
+++ b/test/support/vm_group.h
@@ -33,9 +33,9 @@
     vm_group(vm_group&&) = delete;
     vm_group& operator=(vm_group&&) = delete;
 
-    /** Adds a server that all VMs know. */
+    /** Adds a server that all VMs know. \p version: of its software. */
     scripted_server& add_server(const std::string& id, const std::string& service,
-                                scripted_server::script answer);
+                                scripted_server::script answer, const std::string& version = "v1");
     /** Cuts the VM off from all servers of \p service; from all servers if it is empty. */
     void cut_off(std::size_t vm, cut_kind kind, const std::string& service = {});
     void reconnect(std::size_t vm);
