Streams go on at the software version that began them

Cause: the version in a server's registry entry was dropped, so a resumption went to any server. Change: the version that wrote the first event is required of each server that goes on with the stream, directly or through another VM. Soak servers have two versions, and callers take broken streams up. The UDP socket of the gossip became datagram_socket, which the new messages share.

--- a/src/fleet_gossip.cpp
+++ b/src/fleet_gossip.cpp
@@ -1,11 +1,8 @@
 #include "fleet_gossip.h"
 
 #include <algorithm>
-#include <array>
 
 #include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "errors.h"
 #include "log.h"
@@ -15,8 +12,6 @@
 
 namespace {
 
-constexpr std::size_t max_datagram_bytes = std::size_t{4} * 1024;
-
 instant now()
 {
     return std::chrono::steady_clock::now();
@@ -45,24 +40,10 @@
 fleet_gossip::fleet_gossip(event_base* base, const link_address& listen,
                            const data_centre_id& data_centre, std::span<const link_address> seeds)
     : own(listen), rounds(identify(listen, data_centre), all_to_host_order(seeds), now()),
-      socket(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
-{
-    const sockaddr_in listen_address = to_socket_address(listen);
-    if (this->socket < 0 || ::bind(this->socket, reinterpret_cast<const sockaddr*>(&listen_address),
-                                   sizeof listen_address) != 0) {
-        throw user_error("listen", to_string(listen), "the address for other VMs cannot be bound");
-    }
-    const auto on_readable = [](evutil_socket_t, short, void* self) {
-        static_cast<fleet_gossip*>(self)->receive();
-    };
-    this->read_event.reset(event_new(base, this->socket, EV_READ | EV_PERSIST, on_readable, this));
-    event_add(this->read_event.get(), nullptr);
-}
-
-fleet_gossip::~fleet_gossip()
+      socket(base, listen, [this](std::uint32_t from, std::string_view bytes) {
+          this->apply_digest(from, bytes);
+      })
 {
-    this->read_event.reset();
-    if (this->socket >= 0) ::close(this->socket);
 }
 
 link_address fleet_gossip::address_of(const fleet_vm& vm) const
@@ -80,34 +61,8 @@
     if (!this->rounds.due(time)) return;
     for (const outgoing_digest& digest : this->rounds.next(describe(), time)) {
         for (const std::uint32_t address : digest.to)
-            this->send(address, digest.bytes);
-    }
-}
-
-void fleet_gossip::send(std::uint32_t address, const std::string& bytes)
-{
-    sockaddr_in to{};
-    to.sin_family = AF_INET;
-    to.sin_port = htons(this->own.port);
-    to.sin_addr.s_addr = htonl(address);
-    // A failed send is treated like a lost datagram: the next digest replaces it.
-    ::sendto(this->socket, bytes.data(), bytes.size(), MSG_DONTWAIT,
-             reinterpret_cast<const sockaddr*>(&to), sizeof to);
-    this->sent_bytes += bytes.size();
-}
-
-void fleet_gossip::receive()
-{
-    std::array<char, max_datagram_bytes> bytes{};
-    constexpr int max_datagrams_per_call = 32;
-    for (int i = 0; i < max_datagrams_per_call; ++i) {
-        sockaddr_in from{};
-        socklen_t size = sizeof from;
-        const ssize_t count = ::recvfrom(this->socket, bytes.data(), bytes.size(), MSG_DONTWAIT,
-                                         reinterpret_cast<sockaddr*>(&from), &size);
-        if (count <= 0) return;
-        this->apply_digest(ntohl(from.sin_addr.s_addr),
-                           {bytes.data(), static_cast<std::size_t>(count)});
+            this->socket.send(address, digest.bytes);
+        this->sent_bytes += digest.bytes.size() * digest.to.size();
     }
 }
 
--- a/src/fleet_gossip.h
+++ b/src/fleet_gossip.h
@@ -14,7 +14,7 @@
 
 #include <sigc++/sigc++.h>
 
-#include "event_loop.h"
+#include "datagram_socket.h"
 #include "fleet_rounds.h"
 #include "link_address.h"
 
@@ -26,7 +26,7 @@
      * the address cannot be bound. */
     fleet_gossip(event_base* base, const link_address& listen, const data_centre_id& data_centre,
                  std::span<const link_address> seeds);
-    ~fleet_gossip();
+    ~fleet_gossip() = default;
     fleet_gossip(const fleet_gossip&) = delete;
     fleet_gossip& operator=(const fleet_gossip&) = delete;
     fleet_gossip(fleet_gossip&&) = delete;
@@ -51,14 +51,11 @@
     sigc::signal<void(const fleet_vm&)> on_digest;
 
 private:
-    void receive();
     void apply_digest(std::uint32_t from, std::string_view bytes);
-    void send(std::uint32_t address, const std::string& bytes);
 
     link_address own;
     fleet_rounds rounds;
-    event_ptr<event> read_event;
-    evutil_socket_t socket = -1;
+    datagram_socket socket;
     std::uint64_t sent_bytes = 0;
 };
 
--- a/src/fleet_table.cpp
+++ b/src/fleet_table.cpp
@@ -131,6 +131,12 @@
     return vm.last_received_at != instant{} && now - vm.last_received_at <= limit;
 }
 
+bool fleet_table::is_known(std::uint32_t address) const
+{
+    const auto found = this->table.find(address);
+    return found != this->table.end() && found->second.alive_at != instant{};
+}
+
 bool fleet_table::is_alive(const fleet_vm& vm, instant now) const
 {
     if (this->is_local(vm)) return this->is_responsive(vm, now);
--- a/src/fleet_table.h
+++ b/src/fleet_table.h
@@ -84,6 +84,8 @@
     [[nodiscard]] const identity& self() const { return this->own; }
     [[nodiscard]] std::map<std::uint32_t, fleet_vm>& vms() { return this->table; }
     [[nodiscard]] const std::map<std::uint32_t, fleet_vm>& vms() const { return this->table; }
+    /** Whether the address is that of a VM that was seen alive. */
+    [[nodiscard]] bool is_known(std::uint32_t address) const;
     /** Whether the VM is treated as one of the same data centre. */
     [[nodiscard]] bool is_local(const fleet_vm& vm) const;
     /** Whether digests of the VM arrive, that is, it is not silent. */
--- a/src/live_request.h
+++ b/src/live_request.h
@@ -65,6 +65,14 @@
     bool response_begun = false; ///< the response head was sent to the caller
     bool caller_left = false;    ///< the caller disconnected; the attempt is left to complete
     bool ended = false;
+    /** The stream that the caller gets: its first event came, or will come, with this request. */
+    stream_key stream{};
+    /** The only version of the software that may go on with the stream; std::nullopt: any may begin
+     * it. */
+    std::optional<software_version> required_version;
+    /** Version of the software at the server of the current attempt, when it was sent; with a
+     * relayed one, what the other VM stated. */
+    software_version attempt_version = software_version::unknown;
     std::string buffered_body; ///< response body not yet forwarded
     event_stream events;
     instant first_event_at{}; ///< when the first event was forwarded; the epoch: not yet
--- a/src/protocol.h
+++ b/src/protocol.h
@@ -37,6 +37,9 @@
     std::optional<milliseconds> deadline;
     std::vector<prompt_part> prompt;
     std::optional<std::uint64_t> last_event_id;
+    /** Id of the request that brought the first event of the stream that the caller takes up;
+     * empty: not named. */
+    std::string resumes;
     /** Headers that were ignored because they are reserved for the router or were sent twice. The
      * names come from the adapter's constants, so the number of distinct values is bounded. */
     std::vector<std::string_view> ignored_headers;
@@ -162,6 +165,7 @@
     service_id service;
     link_address address;
     data_centre_id data_centre;
+    std::string version; ///< of its software
     std::uint32_t slots = 1;
     bool draining = false;
     /** Remaining time until the server is warm, measured when it wrote the entry. */
--- a/src/relay_headers.h
+++ b/src/relay_headers.h
@@ -34,6 +34,11 @@
  * are not from each other's hints, and spread over them by the hints of those. */
 constexpr std::string_view relay_hint_header = "Worksshift-Relay-Hint";
 
+/** Version of the software that began the stream, as the number of `software_version`. In a
+ * request: only servers of this version may go on with it. In the response: the server's version.
+ */
+constexpr std::string_view relay_version_header = "Worksshift-Relay-Version";
+
 /** Splits a list at its commas; entries beyond `max_relay_servers` are left out. */
 inline std::vector<std::string> split_list(const std::string& text)
 {
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -75,6 +75,9 @@
         server_entry* row = table.find(server);
         if (row != nullptr) server_table::mark_reachable(*row, now());
     });
+    this->origins.on_result = [this](stream_key stream, std::optional<software_version> version) {
+        this->on_stream_version(stream, version);
+    };
     servers.on_checked.connect([this](std::uint32_t server, check_result result) {
         this->on_server_checked(server_incarnation{server}, result);
     });
@@ -125,7 +128,7 @@
 void request_path::begin(live_request& request)
 {
     request.config = this->config;
-    if (this->resolve_route(request)) this->dispatch(request);
+    if (this->resolve_route(request) && this->resolve_version(request)) this->dispatch(request);
 }
 
 /** Determines route, account and deadline. If there is no route or the key is unknown, answers the
@@ -221,6 +224,7 @@
     wanted.repeatable =
         request.matched_route->repeatable() && request.runs + 1 < request.max_runs();
     wanted.allowed_regions = {request.matched_route->allowed_regions, request.account_regions};
+    wanted.version = request.required_version;
     return wanted;
 }
 
@@ -260,6 +264,7 @@
     request.last_byte_at = time;
     request.refused = false;
     request.tried_servers.push_back(row.record.id);
+    request.attempt_version = row.software;
     server_table::on_sent(row, time);
     forward_metadata metadata;
     metadata.expected_server = row.record.id.text;
@@ -406,6 +411,7 @@
         this->callers.add_response_data(request.id, events);
         return;
     }
+    this->begin_stream(request);
     request.response_begun = true;
     request.first_event_at = request.last_byte_at;
     this->callers.begin_response(request.id, request.response_head, events);
@@ -767,6 +773,7 @@
         this->requests.erase(id);
     this->finished.clear();
     this->check_reach(time);
+    this->origins.tick(time);
     // A response can admit the next request on its connection, so `requests` may change during the
     // loop.
     std::vector<live_request*> current;
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -21,6 +21,7 @@
 #include "fleet_retry_budget.h"
 #include "live_request.h"
 #include "metrics.h"
+#include "origin_exchange.h"
 #include "relay_selection.h"
 #include "server_connections.h"
 #include "server_table.h"
@@ -92,6 +93,9 @@
     /** Requests suspected of crashing servers, as known to this VM. */
     [[nodiscard]] crash_suspects& suspects() { return this->suspect_contents; }
     [[nodiscard]] const crash_suspects& suspects() const { return this->suspect_contents; }
+    /** What is known of the streams that callers may take up again. */
+    [[nodiscard]] origin_exchange& stream_versions() { return this->origins; }
+    [[nodiscard]] const origin_exchange& stream_versions() const { return this->origins; }
     /** Address of another VM that got answers from servers of the service recently; std::nullopt if
      * none is known. */
     std::function<std::optional<std::uint32_t>(const service_id&)> find_serving_vm =
@@ -164,6 +168,14 @@
     void add_relay_headers(const live_request& request, http_head& head) const;
     void check_reach(instant now);
 
+    // Streams that are taken up again, in request_path_resume.cpp.
+    [[nodiscard]] bool resolve_version(live_request& request);
+    void on_stream_version(stream_key stream, std::optional<software_version> version);
+    void require_version(live_request& request, std::optional<software_version> version,
+                         std::string_view source);
+    void begin_stream(live_request& request);
+    [[nodiscard]] bool has_wrong_version(const live_request& request, int status) const;
+
     void log_attempt(const live_request& request, std::string_view outcome, std::string_view step,
                      std::string_view detail);
 
@@ -181,6 +193,9 @@
     std::map<service_id, fleet_retry_budget> budgets;
     std::vector<std::uint64_t> finished;        ///< erased in the next tick
     std::vector<std::uint64_t> awaiting_config; ///< requests that wait for the first configuration
+    origin_exchange origins;
+    /** Requests that wait for the version that began their stream. */
+    std::multimap<stream_key, std::uint64_t> awaiting_version;
     instant last_arrival_at{};
     server_connections* relay_connections = nullptr; ///< to other VMs; nullptr: no relaying
     std::uint16_t relay_port = 0;
--- a/src/request_path_relay.cpp
+++ b/src/request_path_relay.cpp
@@ -27,6 +27,15 @@
     return std::chrono::steady_clock::now();
 }
 
+/** The version in a header of another VM; `unknown` if it is not a number. */
+software_version parse_version(std::string_view text)
+{
+    std::uint32_t number = 0;
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool valid = fault == std::errc{} && end == text.data() + text.size();
+    return valid ? software_version{number} : software_version::unknown;
+}
+
 } // namespace
 
 void request_path::enable_relay(server_connections& connections, std::uint16_t port)
@@ -93,6 +102,12 @@
     request.relay_responded = false;
     http_head head = request.head;
     remove_header(head, relay_lost_header);
+    remove_header(head, relay_version_header);
+    if (request.required_version) {
+        head.headers.push_back(
+            {std::string(relay_version_header),
+             std::to_string(static_cast<std::uint32_t>(*request.required_version))});
+    }
     const service_reach* reach = this->table.reach_of(request.service);
     if (reach != nullptr && !reach->cut_off()) {
         const std::string lost = this->lost_servers(request.service);
@@ -120,6 +135,14 @@
     if (request == nullptr) return;
     request->last_byte_at = now();
     request->relay_responded = true;
+    request->attempt_version = parse_version(remove_header(head, relay_version_header));
+    if (this->has_wrong_version(*request, head.status)) {
+        // A VM of an earlier release does not heed the version.
+        ++request->runs;
+        this->cancel_relay(*request, relay_result::not_served);
+        this->fail(*request, "resume", "the other VM does not state the software version");
+        return;
+    }
     const std::string refusal = remove_header(head, relay_refused_header);
     request->refused = !refusal.empty();
     request->refused_for_slot = refusal == no_slot_reason;
@@ -227,6 +250,8 @@
     ++this->relayed_in_progress;
     for (std::string& id : split_list(remove_header(request.head, relay_lost_header)))
         request.asked_servers.push_back({std::move(id)});
+    const std::string version = remove_header(request.head, relay_version_header);
+    if (!version.empty()) request.required_version = parse_version(version);
 }
 
 /** Servers of the service that cannot be reached, those lost first at the front. */
@@ -316,11 +341,17 @@
     remove_header(head, relay_server_header);
     remove_header(head, relay_hint_header);
     remove_header(head, relay_answered_header);
+    remove_header(head, relay_version_header);
     const std::string answered = this->answered_servers(request);
     if (!answered.empty()) head.headers.push_back({std::string(relay_answered_header), answered});
     const auto serving = this->find_serving_vm(request.service);
     if (serving) head.headers.push_back({std::string(relay_hint_header), to_text(*serving)});
     head.headers.push_back({std::string(relay_server_header), request.row->record.id.text});
+    if (request.attempt_version == request.row->software) {
+        head.headers.push_back(
+            {std::string(relay_version_header),
+             std::to_string(static_cast<std::uint32_t>(request.attempt_version))});
+    }
 }
 
 /** Checks servers that may have become reachable again, or whose state shows whether this VM is
--- /dev/null
+++ b/src/request_path_resume.cpp
@@ -0,0 +1,110 @@
+/** \file
+ * The part of `request_path` that keeps each event stream at one version of the server software.
+ *
+ * What two versions write does not fit together, and servers do not check it. The version that
+ * wrote a stream's first event is required of all servers that go on with it, within the response
+ * and when its caller takes the stream up again. If nobody knows it, the request is refused.
+ */
+#include "log.h"
+#include "request_path.h"
+
+namespace worksshift {
+
+namespace {
+
+constexpr int ok = 200;
+constexpr std::string_view resume_step = "resume";
+
+instant now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+/** Determines the version that must go on with a stream that the caller takes up. Returns false if
+ * it is being asked for, or if the request was refused. */
+bool request_path::resolve_version(live_request& request)
+{
+    const bool resumed = request.matched_route->resumable && request.metadata.last_event_id;
+    const bool named = resumed && !request.metadata.resumes.empty();
+    request.stream = stream_key_of(named ? request.metadata.resumes : request.metadata.id);
+    if (!resumed) {
+        request.required_version.reset();
+        return true;
+    }
+    if (request.required_version) {
+        this->require_version(request, request.required_version, "vm");
+    } else if (!named) {
+        // Callers that do not name the stream can go on while there is nothing to confuse.
+        const auto version = this->table.only_version(request.service, now());
+        this->require_version(request, version, "only_version");
+    } else if (const auto known = this->origins.find(request.stream)) {
+        this->require_version(request, known, "here");
+    } else {
+        this->awaiting_version.emplace(request.stream, request.id);
+        this->origins.ask(request.stream, now());
+        return false;
+    }
+    return !request.ended;
+}
+
+/** The other VMs were asked for the version that began a stream. */
+void request_path::on_stream_version(stream_key stream, std::optional<software_version> version)
+{
+    const auto [first, last] = this->awaiting_version.equal_range(stream);
+    std::vector<std::uint64_t> ids;
+    for (auto entry = first; entry != last; ++entry)
+        ids.push_back(entry->second);
+    this->awaiting_version.erase(first, last);
+    for (const std::uint64_t id : ids) {
+        const auto found = this->requests.find(id);
+        if (found == this->requests.end() || found->second->ended) continue;
+        live_request& request = *found->second;
+        this->require_version(request, version, "asked");
+        if (!request.ended) this->dispatch(request);
+    }
+}
+
+/** Binds a resumed request to the version, or refuses it if that is not known. */
+void request_path::require_version(live_request& request, std::optional<software_version> version,
+                                   std::string_view source)
+{
+    const bool known = version.value_or(software_version::unknown) != software_version::unknown;
+    log_event(log_level::info, "resumption",
+              {{"request", request.metadata.id},
+               {"resumes", request.metadata.resumes},
+               {"source", source},
+               {"known", known ? 1 : 0},
+               {"version", static_cast<std::uint32_t>(version.value_or(software_version::unknown))},
+               {"waited_ms", (now() - request.arrived_at) / milliseconds(1)}});
+    this->telemetry.count("worksshift_resumptions_total{known=\"" + std::to_string(known ? 1 : 0) +
+                          "\"}");
+    request.required_version = version;
+    if (!known) {
+        this->fail(request, resume_step.data(),
+                   "the software version that began the stream is not known");
+    }
+}
+
+/** The first event of a stream is about to be passed on. Its version is told to other VMs before,
+ * so that they know it when this VM is lost and the caller comes to them. */
+void request_path::begin_stream(live_request& request)
+{
+    if (!request.matched_route->resumable) return;
+    // An entry that changed since the request was sent does not describe the process that answers.
+    const bool certain = request.row == nullptr || request.row->software == request.attempt_version;
+    request.required_version = certain ? request.attempt_version : software_version::unknown;
+    // The VM to which the caller is connected tells the others.
+    if (request.from_vm || *request.required_version == software_version::unknown) return;
+    this->origins.announce({request.stream, *request.required_version}, now());
+}
+
+/** Whether the server that answers through another VM may not go on with the stream. */
+bool request_path::has_wrong_version(const live_request& request, int status) const
+{
+    return request.required_version && status == ok &&
+           request.attempt_version != *request.required_version;
+}
+
+} // namespace worksshift
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -164,10 +164,26 @@
         return this->find_serving_vm(service);
     };
     this->callers.listen_for_vms(this->options.relay, [this](std::uint32_t address) {
-        const auto& vms = this->gossip.fleet().vms();
-        const auto found = vms.find(address);
-        return found != vms.end() && found->second.alive_at != instant{};
+        return this->gossip.fleet().is_known(address);
     });
+    this->origin_socket.emplace(
+        this->base.get(), this->options.relay,
+        [this](std::uint32_t from, std::string_view bytes) { this->receive_origin(from, bytes); });
+    this->path.stream_versions().send = [this](std::uint32_t to, const std::string& bytes) {
+        this->origin_socket->send(to, bytes);
+    };
+}
+
+/** Handles a datagram of `origin_exchange`; those of hosts that are not VMs are dropped. */
+void router::receive_origin(std::uint32_t from, std::string_view bytes)
+{
+    if (!this->gossip.fleet().is_known(from)) return;
+    try {
+        this->path.stream_versions().receive(from, bytes, now());
+    } catch (const error& fault) {
+        log_event(log_level::warn, "origin_refused",
+                  {{"peer", to_text(from)}, {"reason", fault.what()}});
+    }
 }
 
 /** A VM of this data centre whose last digest names an answer of one of the service's servers.
@@ -192,7 +208,8 @@
     return found == vms.end() ? std::nullopt : std::optional((*found)->address);
 }
 
-/** Requests may be relayed through all VMs that are alive and not leaving. */
+/** Requests may be relayed through all VMs that are alive and not leaving. All that are alive may
+ * know the origins of streams. */
 void router::update_relay_vms(instant time)
 {
     const fleet_table& fleet = this->gossip.fleet();
@@ -200,13 +217,17 @@
     for (const auto& [data_centre, region] : this->options.regions)
         region_of[static_cast<std::uint32_t>(data_centre.hash())] = region;
     std::vector<relay_vm> vms;
+    std::vector<origin_vm> origin_vms;
     for (const auto& [address, vm] : fleet.vms()) {
-        if (!fleet.is_alive(vm, time) || vm.last.leaving) continue;
+        if (!fleet.is_alive(vm, time)) continue;
+        origin_vms.push_back({address, vm.last.leaving});
+        if (vm.last.leaving) continue;
         const auto region = region_of.find(vm.data_centre);
         vms.push_back({address, vm.data_centre == fleet.self().data_centre,
                        region == region_of.end() ? region_id{} : region->second});
     }
     this->path.set_relay_vms(std::move(vms));
+    this->path.stream_versions().set_vms(std::move(origin_vms));
 }
 
 void router::connect_signals()
@@ -464,6 +485,9 @@
     text << "worksshift_cold_servers " << this->servers.cold_servers(now()) << '\n';
     text << "worksshift_blocked_contents " << this->path.suspects().blocked_contents() << '\n';
     text << "worksshift_digest_bytes_sent_total " << this->gossip.bytes_sent() << '\n';
+    text << "worksshift_stream_origins " << this->path.stream_versions().streams() << '\n';
+    text << "worksshift_origin_bytes_sent_total " << this->path.stream_versions().bytes_sent()
+         << '\n';
     text << "worksshift_vms_heard " << this->gossip.fleet().responsive_vms(now()).size() << '\n';
     return text.str();
 }
--- a/src/router.h
+++ b/src/router.h
@@ -8,9 +8,11 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 
 #include "caller_connections.h"
 #include "config_follower.h"
+#include "datagram_socket.h"
 #include "evacuation_follower.h"
 #include "fleet_gossip.h"
 #include "metrics.h"
@@ -50,6 +52,7 @@
     void update_peer_loads(instant now);
     void update_server_assignments(instant now);
     void enable_relay();
+    void receive_origin(std::uint32_t from, std::string_view bytes);
     [[nodiscard]] std::optional<std::uint32_t> find_serving_vm(const service_id& service) const;
     void update_relay_vms(instant now);
     void announce_suspects(instant now);
@@ -77,6 +80,7 @@
     server_connections vm_connections; ///< for requests that other VMs relay
     request_path path;
     fleet_gossip gossip;
+    std::optional<datagram_socket> origin_socket; ///< for `origin_exchange`, at the relay port
     http_client client;
     watcher_selection watch_role;
     config_follower configuration;
--- a/src/server_entry.h
+++ b/src/server_entry.h
@@ -14,6 +14,7 @@
 #include "recent_outcomes.h"
 #include "server_health.h"
 #include "server_path.h"
+#include "software_version.h"
 
 namespace worksshift {
 
@@ -33,6 +34,7 @@
     server_record record;
     std::uint64_t hash = 0;            ///< of the server's id; input of the rendezvous weights
     server_incarnation incarnation{};  ///< current incarnation of the server
+    software_version software{};       ///< version of its software
     instant listed_at{};               ///< when this incarnation was first listed
     std::uint32_t in_flight = 0;       ///< attempts of this VM
     std::uint32_t peers_in_flight = 0; ///< attempts of the other VMs, as last reported
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -243,6 +243,9 @@
 
 bool server_table::is_allowed(const server_entry& row, const placement_request& wanted)
 {
+    const bool version_matches = !wanted.version || (row.software == *wanted.version &&
+                                                     row.software != software_version::unknown);
+    if (!version_matches) return false;
     return std::ranges::all_of(wanted.allowed_regions, [&row](std::span<const region_id> regions) {
         if (regions.empty()) return true;
         return !row.region.empty() && std::ranges::find(regions, row.region) != regions.end();
@@ -299,6 +302,7 @@
     row.record = record;
     row.hash = record.id.hash();
     row.incarnation = incarnation_of(record);
+    row.software = software_version_of(record.version);
     row.leaving = this->notices.leaving(row.incarnation);
     row.backoff_until = this->notices.backoff_until(row.incarnation);
     row.outcomes.set_decay_time(decay_time_of(this->services[record.service].traits));
@@ -379,6 +383,7 @@
 {
     this->notices.expire_backoffs(now);
     for (auto& [service, group] : this->services) {
+        if (versions_differ(group)) group.versions_differed_at = now;
         std::erase_if(group.rows, [](const server_entry* row) { return row->is_removable(); });
     }
     std::erase_if(this->by_short_hash,
@@ -389,6 +394,26 @@
     std::erase_if(this->retired, [](const auto& node) { return node.mapped().is_removable(); });
 }
 
+bool server_table::versions_differ(const service_state& group)
+{
+    const auto differs = [&](const server_entry* row) {
+        return row->software != group.rows.front()->software;
+    };
+    return std::ranges::any_of(group.rows, differs);
+}
+
+std::optional<software_version> server_table::only_version(const service_id& service,
+                                                           instant now) const
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end() || found->second.rows.empty()) return std::nullopt;
+    const service_state& group = found->second;
+    const bool differed_recently = group.versions_differed_at != instant{} &&
+                                   now - group.versions_differed_at <= stream_origins::lifetime;
+    if (differed_recently || versions_differ(group)) return std::nullopt;
+    return group.rows.front()->software;
+}
+
 service_load server_table::load_of(const service_id& service) const
 {
     const auto found = this->services.find(service);
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -28,6 +28,7 @@
 #include "server_notices.h"
 #include "service_reach.h"
 #include "slot_forecast.h"
+#include "stream_origins.h"
 
 namespace worksshift {
 
@@ -53,6 +54,9 @@
     /** Regions in which the request may be served: the route's list and the client account's list.
      * An empty list allows all regions; a region must be allowed by both. */
     std::array<std::span<const region_id>, 2> allowed_regions{};
+    /** The only version of the software that may serve it, as it wrote the first events of the
+     * stream; std::nullopt: any version may. */
+    std::optional<software_version> version{};
 };
 
 /** The selected server, and the figures behind the selection. */
@@ -176,6 +180,10 @@
     [[nodiscard]] server_entry* find(const server_id& id);
     /** nullptr if the incarnation is unknown or no longer the current one of its server. */
     [[nodiscard]] server_entry* find(server_incarnation incarnation);
+    /** The version of the software of all servers of the service that are known or were in the last
+     * minute; std::nullopt if there are several. */
+    [[nodiscard]] std::optional<software_version> only_version(const service_id& service,
+                                                               instant now) const;
     /** Whether a server that seems healthy accepts the request now. */
     [[nodiscard]] bool has_healthy_candidate(const placement_request& wanted, instant now) const;
     /** This VM sends a request to the server. */
@@ -240,7 +248,8 @@
     placement_result choose_engine(const placement_request& wanted, const candidate_list& open);
     [[nodiscard]] bool is_open(const service_state& group, const server_entry& row,
                                instant now) const;
-    /** Whether the regions allowed for the request include the server's region. */
+    /** Whether the regions allowed for the request include the server's region, and the server has
+     * the version that the request needs. */
     static bool is_allowed(const server_entry& row, const placement_request& wanted);
     static bool may_serve(const server_entry& row, const placement_request& wanted);
     void update_cold(server_entry& row, bool restarted, instant now);
@@ -268,6 +277,7 @@
         std::size_t vms = 1;                    ///< of the fleet
         std::size_t reporting_vms = 1;          ///< whose rejections are known
         service_load sum;
+        instant versions_differed_at{}; ///< its servers last had several versions; the epoch: never
         service_traits traits;
         duration objective{}; ///< time to the first event, shortest of its routes; zero: none
 
@@ -294,6 +304,7 @@
     void update_cold_shares(service_state& group, const fleet_members& members, instant now);
     void mark_failing(service_state& group, const fleet_members& members, instant now);
     void set_failing(server_entry& row, bool failing, instant now);
+    static bool versions_differ(const service_state& group);
 
     /** Moves the row of a previous incarnation from the table to `retired`. */
     void retire(server_entry& row);
--- /dev/null
+++ b/test/correctness/streams_go_on_at_their_software_version.cpp
@@ -0,0 +1,81 @@
+/** \file
+ * Routers as processes, before servers of two software versions. Guards against streams that end,
+ * or that get events of another version, when half of the routers are killed and the callers take
+ * their streams up at the others.
+ */
+#include <algorithm>
+#include <csignal>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "support/router_fleet.h"
+#include "support/versioned_streams.h"
+
+namespace {
+
+using namespace support;
+using namespace worksshift;
+
+struct begun_stream {
+    std::string id;
+    std::unique_ptr<raw_caller> caller;
+    std::unique_ptr<raw_caller> resumed;
+};
+
+class streams_go_on_at_their_software_version : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(streams_go_on_at_their_software_version);
+    CPPUNIT_TEST(half_of_the_routers_are_killed);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    static void half_of_the_routers_are_killed()
+    {
+        constexpr std::size_t routers = 6;
+        constexpr std::size_t killed = 3;
+        router_fleet fleet(routers);
+        fleet.set_config(example_config(1));
+        for (const std::string version : {"v1", "v2"}) {
+            for (const std::string name : {"a", "b"})
+                fleet.add_server(version + name, "llm", holds_new_streams(version), "dc", version);
+        }
+        fleet.start_all();
+        CPPUNIT_ASSERT(fleet.wait_until_all_ready());
+        // The routers discover each other.
+        fleet.run_until([] { return false; }, seconds(1));
+        std::vector<begun_stream> streams;
+        for (std::size_t i = 0; i < 12; ++i) {
+            const std::size_t router = i % killed;
+            streams.push_back({"q" + std::to_string(i), fleet.connect(router), nullptr});
+            streams.back().caller->send(new_stream(streams.back().id));
+        }
+        CPPUNIT_ASSERT(fleet.run_until(
+            [&] {
+                return std::ranges::all_of(streams, [](const begun_stream& stream) {
+                    return !body_in(stream.caller->received).empty();
+                });
+            },
+            seconds(5)));
+        for (std::size_t router = 0; router < killed; ++router)
+            fleet.routers[router].signal(SIGKILL);
+        for (std::size_t i = 0; i < streams.size(); ++i) {
+            streams[i].resumed = fleet.connect(killed + i % (routers - killed));
+            streams[i].resumed->send(resumption("again" + streams[i].id, streams[i].id));
+        }
+        CPPUNIT_ASSERT(fleet.run_until(
+            [&] {
+                return std::ranges::all_of(streams, [](const begun_stream& stream) {
+                    return has_ended(stream.resumed.get());
+                });
+            },
+            seconds(5)));
+        for (const begun_stream& stream : streams) {
+            CPPUNIT_ASSERT_MESSAGE(stream.resumed->received, is_complete(*stream.resumed));
+            CPPUNIT_ASSERT(versions_in(stream.caller->received) ==
+                           versions_in(stream.resumed->received));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(streams_go_on_at_their_software_version);
+
+} // namespace
--- a/test/soak/guarantee_checker.cpp
+++ b/test/soak/guarantee_checker.cpp
@@ -42,12 +42,19 @@
     return all;
 }
 
-std::string complete_body(const route_properties& route, const std::string& id)
+std::string complete_body(const route_properties& route, const std::string& id,
+                          const std::string& version, unsigned after)
 {
     if (!route.stream) return "answer to " + id;
     std::string body;
-    for (unsigned event = 1; event <= events_in_full_stream; ++event)
-        body += "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
+    for (unsigned event = after + 1; event <= events_in_full_stream; ++event)
+        body.append("id: ")
+            .append(std::to_string(event))
+            .append("\ndata: ")
+            .append(id)
+            .append(" ")
+            .append(version)
+            .append("\n\n");
     return body;
 }
 
@@ -230,13 +237,30 @@
     if (sent_request != nullptr && sent_request->active_runs > 0) --sent_request->active_runs;
 }
 
-void guarantee_checker::check_body(const asked_request& sent_request, const std::string& received)
+/** A stream is written by servers of one version, which is that of the stream that it resumes. */
+void guarantee_checker::check_body(asked_request& sent_request, const std::string& received)
 {
-    const std::string expected = complete_body(*sent_request.route, sent_request.id);
     const std::string body = body_in(received);
-    if (!expected.starts_with(body)) this->report("unexpected response body", sent_request);
+    const auto matches = [&](const std::string& version) {
+        return complete_body(*sent_request.route, sent_request.id, version,
+                             sent_request.resume_after)
+            .starts_with(body);
+    };
+    const auto version = std::ranges::find_if(software_versions, matches);
+    if (version == software_versions.end()) {
+        this->report("unexpected response body", sent_request);
+        return;
+    }
+    if (sent_request.route->stream && !body.empty()) {
+        if (!sent_request.version.empty() && sent_request.version != *version)
+            this->report("stream goes on at another software version", sent_request);
+        sent_request.version = *version;
+    }
+    const std::string expected =
+        complete_body(*sent_request.route, sent_request.id, *version, sent_request.resume_after);
     if (sent_request.complete && body != expected)
         this->report("truncated response looks complete", sent_request);
+    if (sent_request.complete && !sent_request.resumes.empty()) ++this->resumed;
 }
 
 bool guarantee_checker::had_server_fault(const asked_request& sent_request, instant now) const
--- a/test/soak/guarantee_checker.h
+++ b/test/soak/guarantee_checker.h
@@ -27,11 +27,16 @@
 
 const std::vector<route_properties>& routes();
 
+/** Versions of the servers' software. */
+inline const std::vector<std::string> software_versions{"v1", "v2"};
+
 /** Number of events of a complete stream. */
 constexpr unsigned events_in_full_stream = 4;
 
-/** The body of a complete response to a request. */
-std::string complete_body(const route_properties& route, const std::string& id);
+/** The body of a complete response to a request, from a server of this software version; of a
+ * stream, the events after \p after. */
+std::string complete_body(const route_properties& route, const std::string& id,
+                          const std::string& version, unsigned after = 0);
 
 /** One request, as seen by its caller and by the servers. */
 struct asked_request {
@@ -39,6 +44,9 @@
     const route_properties* route = nullptr;
     std::size_t router = 0;
     unsigned router_incarnation = 0;
+    std::string resumes; ///< id of the request that brought the stream's first event; or empty
+    unsigned resume_after = 0; ///< last event that its caller has
+    std::string version;       ///< of the software that wrote the stream; empty: no event yet
     std::uint64_t key_config_version =
         0; ///< configuration version that added its API key; 0: in all versions
     worksshift::instant sent{};
@@ -115,6 +123,7 @@
     std::vector<std::string> broken;
     std::size_t asked = 0;
     std::size_t served = 0;
+    std::size_t resumed = 0; ///< streams that callers took up and that were served to their end
     std::map<int, std::size_t> by_status; ///< responses to callers that did not leave; 0: none
 
 private:
@@ -131,7 +140,7 @@
     void check_leaving(const std::string& server, const asked_request& sent_request,
                        worksshift::instant now);
     void check_retries(const route_properties& route, worksshift::instant now, bool is_retry);
-    void check_body(const asked_request& sent_request, const std::string& received);
+    void check_body(asked_request& sent_request, const std::string& received);
     /** Whether a server that ran it, or the connections to that server, had a fault recently. */
     [[nodiscard]] bool had_server_fault(const asked_request& sent_request,
                                         worksshift::instant now) const;
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -72,7 +72,8 @@
         for (const std::string& violation : guarantees.broken)
             std::cout << "seed=" << seed << " broken=\"" << violation << "\"\n";
         std::cout << "seed=" << seed << " requests=" << guarantees.asked
-                  << " served=" << guarantees.served << " stalls=" << run.stalls;
+                  << " served=" << guarantees.served << " resumed=" << guarantees.resumed
+                  << " stalls=" << run.stalls;
         for (const auto& [status, requests] : guarantees.by_status)
             std::cout << " status_" << status << '=' << requests;
         std::cout << " broken=" << guarantees.broken.size() << std::endl;
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -76,20 +76,22 @@
     proxied_server added;
     added.id = service + std::to_string(this->next_server++);
     added.service = service;
+    added.version = software_versions[this->draw(software_versions.size())];
     added.server = std::make_unique<soak_server>(
         this->fleet.base.get(),
-        [this, id = added.id](const std::string& request) {
-            return this->plan_response(id, request);
+        [this, id = added.id, version = added.version](const std::string& request) {
+            return this->plan_response(id, version, request);
         },
         [this](const std::string& request) { this->guarantees.record_run_end(request); });
     added.proxy = std::make_unique<loopback_proxy>(this->fleet.base.get(), added.server->address());
-    this->fleet.register_server(added.id, service, added.proxy->address());
+    this->fleet.register_server(added.id, service, added.proxy->address(), "dc", added.version);
     this->active_servers.push_back(added.id);
     this->servers.push_back(std::move(added));
 }
 
 /** A correct response spread over time, or a faulty one while servers fail. */
-response_plan soak_run::plan_response(const std::string& server, const std::string& request)
+response_plan soak_run::plan_response(const std::string& server, const std::string& version,
+                                      const std::string& request)
 {
     const bool failing = std::chrono::steady_clock::now() < this->servers_fail_until;
     const std::size_t behaviour = failing ? this->draw(10) : 9;
@@ -107,7 +109,8 @@
     if (!sent_request->route->stream) {
         response.pieces.push_back(
             {this->draw_span(0, 40),
-             response_text(200, request, complete_body(*sent_request->route, sent_request->id))});
+             response_text(200, request,
+                           complete_body(*sent_request->route, sent_request->id, version))});
         return this->apply_failure(behaviour, request, response);
     }
     const std::string last = header_in(request, "last-event-id");
@@ -116,7 +119,7 @@
     for (unsigned event = last.empty() ? 1 : std::stoul(last) + 1; event <= events_in_full_stream;
          ++event) {
         at += this->draw_span(5, 60);
-        response.pieces.push_back({at, event_chunk(event, sent_request->id)});
+        response.pieces.push_back({at, event_chunk(event, sent_request->id + " " + version)});
     }
     response.pieces.push_back({at, "0\r\n\r\n"});
     return this->apply_failure(behaviour, request, response);
@@ -250,8 +253,9 @@
     }
     from.connection->received.clear();
     asked_request sent_request;
+    sent_request = std::exchange(from.broken, {});
+    if (sent_request.route == nullptr) sent_request.route = &routes()[this->draw(routes().size())];
     sent_request.id = "q" + std::to_string(this->next_id++);
-    sent_request.route = &routes()[this->draw(routes().size())];
     sent_request.router = from.router;
     sent_request.sent = this->now;
     // One request in four uses the API key of one of the newest three configurations.
@@ -267,7 +271,27 @@
     const std::string api_key = sent_request.key_config_version == 0
                                     ? "k1"
                                     : "r" + std::to_string(sent_request.key_config_version);
-    from.connection->send(text.replace(text.find(": k1") + 2, 2, api_key));
+    text.replace(text.find(": k1") + 2, 2, api_key);
+    if (!sent_request.resumes.empty()) {
+        text.insert(text.find("X-Api-Key"),
+                    "Last-Event-Id: " + std::to_string(sent_request.resume_after) +
+                        "\r\nResumes: " + sent_request.resumes + "\r\n");
+    }
+    from.connection->send(text);
+}
+
+/** The caller takes up a stream that broke off after its first event. */
+void soak_run::remember_broken_stream(caller& from, const asked_request& sent_request)
+{
+    const bool broken = sent_request.route->stream && sent_request.route->repeatable &&
+                        !sent_request.complete && !sent_request.version.empty();
+    if (!broken) return;
+    const std::string body = support::body_in(from.connection->received);
+    from.broken.route = sent_request.route;
+    from.broken.resumes = sent_request.resumes.empty() ? sent_request.id : sent_request.resumes;
+    from.broken.version = sent_request.version;
+    const std::string_view id_line = std::string_view(body).substr(body.rfind("id: ") + 4);
+    from.broken.resume_after = static_cast<unsigned>(std::stoul(std::string(id_line)));
 }
 
 void soak_run::update_request(caller& from)
@@ -277,6 +301,7 @@
     const bool ended = from.connection->closed || support::is_complete_response(received);
     if (sent_request != nullptr && ended)
         this->guarantees.record_response(*sent_request, received, this->now);
+    if (sent_request != nullptr && ended) remember_broken_stream(from, *sent_request);
     const bool caller_leaves = from.leave_at != instant{} && this->now >= from.leave_at;
     constexpr duration max_wait = seconds(4);
     const bool gave_up = sent_request == nullptr || this->now - sent_request->sent > max_wait;
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -39,10 +39,12 @@
         std::string request_id;         ///< id of the request in flight; empty: none
         worksshift::instant next{};     ///< time of the next request
         worksshift::instant leave_at{}; ///< the epoch: never
+        asked_request broken;           ///< stream to take up next; without id: none
     };
     struct proxied_server {
         std::string id;
         std::string service;
+        std::string version; ///< of its software
         std::unique_ptr<soak_server> server;
         std::unique_ptr<loopback_proxy> proxy;
     };
@@ -51,7 +53,8 @@
     [[nodiscard]] worksshift::duration draw_span(int min_ms, int max_ms);
     void prepare();
     void add_server(const std::string& service);
-    response_plan plan_response(const std::string& server, const std::string& request);
+    response_plan plan_response(const std::string& server, const std::string& version,
+                                const std::string& request);
     response_plan apply_failure(std::size_t behaviour, const std::string& request,
                                 response_plan response);
     void step();
@@ -60,6 +63,7 @@
     void update_faults();
     void ask(caller& from);
     void update_request(caller& from);
+    static void remember_broken_stream(caller& from, const asked_request& sent_request);
     void inject_random_fault();
     void inject_router_fault(std::size_t router);
     void inject_store_fault(std::size_t router);
--- a/test/support/router_fleet.cpp
+++ b/test/support/router_fleet.cpp
@@ -56,24 +56,25 @@
 {
     const auto found = std::ranges::find(this->listings, id, &listing::id);
     return R"({"service":")" + found->service + R"(","address":")" + to_string(found->address) +
-           R"(","zone":")" + found->data_centre +
-           R"(","version":"v1","slots":8,"coldRemainingMs":0,"sequence":1,"state":")" + state +
-           R"("})";
+           R"(","zone":")" + found->data_centre + R"(","version":")" + found->version +
+           R"(","slots":8,"coldRemainingMs":0,"sequence":1,"state":")" + state + R"("})";
 }
 
 scripted_server& router_fleet::add_server(const std::string& id, const std::string& service,
                                           scripted_server::script answer,
-                                          const std::string& data_centre)
+                                          const std::string& data_centre,
+                                          const std::string& version)
 {
     this->servers.push_back(std::make_unique<scripted_server>(this->base.get(), std::move(answer)));
-    this->register_server(id, service, this->servers.back()->address(), data_centre);
+    this->register_server(id, service, this->servers.back()->address(), data_centre, version);
     return *this->servers.back();
 }
 
 void router_fleet::register_server(const std::string& id, const std::string& service,
-                                   const link_address& address, const std::string& data_centre)
+                                   const link_address& address, const std::string& data_centre,
+                                   const std::string& version)
 {
-    this->listings.push_back({id, service, address, data_centre});
+    this->listings.push_back({id, service, address, data_centre, version});
     this->store->put("servers", id, this->entry(id, "ready"));
 }
 
--- a/test/support/router_fleet.h
+++ b/test/support/router_fleet.h
@@ -26,11 +26,14 @@
     /** Starts a scripted server and adds it to the store's registry. */
     scripted_server& add_server(const std::string& id, const std::string& service,
                                 scripted_server::script answer,
-                                const std::string& data_centre = "dc");
-    /** Adds a server that the test runs itself to the store's registry. */
+                                const std::string& data_centre = "dc",
+                                const std::string& version = "v1");
+    /** Adds a server that the test runs itself to the store's registry. \p version: of its
+     * software.
+     */
     void register_server(const std::string& id, const std::string& service,
                          const worksshift::link_address& address,
-                         const std::string& data_centre = "dc");
+                         const std::string& data_centre = "dc", const std::string& version = "v1");
     /** The address at which a router contacts the store. A change takes effect at its next start.
      */
     [[nodiscard]] worksshift::link_address store_address(std::size_t router) const;
@@ -66,6 +69,7 @@
         std::string service;
         worksshift::link_address address;
         std::string data_centre;
+        std::string version;
     };
 
     std::vector<worksshift::link_address> stores; ///< by router
--- a/test/support/vm_group.cpp
+++ b/test/support/vm_group.cpp
@@ -77,6 +77,14 @@
         vm->vm_links.set_source(vm->address);
         vm->path.enable_relay(vm->vm_links, this->relay_port);
         vm->path.set_relay_vms(others);
+        std::vector<origin_vm> origin_vms(others.size());
+        std::ranges::transform(others, origin_vms.begin(),
+                               [](const relay_vm& other) { return origin_vm{other.address}; });
+        vm->path.stream_versions().set_vms(std::move(origin_vms));
+        vm->path.stream_versions().send = [this, from = address_of(*vm)](std::uint32_t to,
+                                                                         const std::string& bytes) {
+            this->origin_datagrams.push_back({from, to, bytes});
+        };
         vm->callers.listen_for_vms({vm->address, this->relay_port}, [this, addresses](
                                                                         std::uint32_t from) {
             return this->trusts_all_hosts || std::ranges::find(addresses, from) != addresses.end();
@@ -84,6 +92,18 @@
     }
 }
 
+/** Delivers what VMs told each other of the origins of streams. */
+void vm_group::deliver_origins(instant now)
+{
+    for (const origin_datagram& datagram : std::exchange(this->origin_datagrams, {})) {
+        const auto found = std::ranges::find_if(this->vms, [&](const auto& vm) {
+            return vm != nullptr && address_of(*vm) == datagram.to;
+        });
+        if (found != this->vms.end())
+            (*found)->path.stream_versions().receive(datagram.from, datagram.bytes, now);
+    }
+}
+
 scripted_server& vm_group::add_server(const std::string& id, const std::string& service,
                                       scripted_server::script answer, const std::string& version)
 {
@@ -205,6 +225,7 @@
 void vm_group::tick()
 {
     const instant now = std::chrono::steady_clock::now();
+    this->deliver_origins(now);
     for (const auto& vm : this->vms) {
         if (vm == nullptr) continue;
         vm->callers.sweep(now);
--- a/test/support/vm_group.h
+++ b/test/support/vm_group.h
@@ -69,14 +69,21 @@
 
 private:
     struct vm_state;
+    struct origin_datagram {
+        std::uint32_t from = 0; ///< addresses
+        std::uint32_t to = 0;
+        std::string bytes;
+    };
     static std::uint32_t address_of(const vm_state& vm);
     void connect_vms();
+    void deliver_origins(worksshift::instant now);
     void tick();
     void exchange_digests(worksshift::instant now);
 
     worksshift::protocol adapter;
     std::uint16_t relay_port;
     bool trusts_all_hosts = false;
+    std::vector<origin_datagram> origin_datagrams; ///< on their way
     std::vector<std::unique_ptr<vm_state>> vms;
     std::vector<std::unique_ptr<raw_caller>> callers;
     worksshift::instant digests_sent_at{};
