--- a/test/soak/guarantee_checker.cpp
+++ b/test/soak/guarantee_checker.cpp
@@ -47,14 +47,10 @@
 {
     if (!route.stream) return "answer to " + id;
     std::string body;
-    for (unsigned event = after + 1; event <= events_in_full_stream; ++event)
-        body.append("id: ")
-            .append(std::to_string(event))
-            .append("\ndata: ")
-            .append(id)
-            .append(" ")
-            .append(version)
-            .append("\n\n");
+    for (unsigned event = after + 1; event <= events_in_full_stream; ++event) {
+        body += "id: " + std::to_string(event) + "\ndata: " + id;
+        body += " " + version + "\n\n";
+    }
     return body;
 }
 
