A second VM that states no version does not go on with a stream

Callers behind a VM that is cut off could get events of two versions when the second VM runs an earlier release, which states none: two unknown versions counted as equal. Change: an unknown version matches none, also in answers of other VMs.

--- a/src/request_path_resume.cpp
+++ b/src/request_path_resume.cpp
@@ -103,7 +103,8 @@
 /** Whether the server that answers through another VM may not go on with the stream. */
 bool request_path::has_wrong_version(const live_request& request, int status) const
 {
-    return request.required_version && status == ok &&
+    if (!request.required_version || status != ok) return false;
+    return request.attempt_version == software_version::unknown ||
            request.attempt_version != *request.required_version;
 }
 
