Soak: a caller whose resumption brought no event goes on where it was

The fault is in the test program; nothing was wrong at the router. Change: the position stays that of the request. What is checked is the same.

--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -290,8 +290,11 @@
     from.broken.route = sent_request.route;
     from.broken.resumes = sent_request.resumes.empty() ? sent_request.id : sent_request.resumes;
     from.broken.version = sent_request.version;
-    const std::string_view id_line = std::string_view(body).substr(body.rfind("id: ") + 4);
-    from.broken.resume_after = static_cast<unsigned>(std::stoul(std::string(id_line)));
+    const std::size_t id = body.rfind("id: ");
+    // A response without an event leaves the caller where it was.
+    from.broken.resume_after = id == std::string::npos
+                                   ? sent_request.resume_after
+                                   : static_cast<unsigned>(std::stoul(body.substr(id + 4)));
 }
 
 void soak_run::update_request(caller& from)
