--- a/src/rejection_limit.h
+++ b/src/rejection_limit.h
@@ -68,6 +68,8 @@
         return this->stated_at != instant{} && now - this->stated_at <= statement_lifetime;
     }
     [[nodiscard]] std::uint32_t per_s() const { return this->rejections_per_s; }
+    /** Time since the limit was last stated, for the log. */
+    [[nodiscard]] duration age(instant now) const { return now - this->stated_at; }
 
     /** How long a VM sends nothing to a server that rejected its request. If the server goes on
      * rejecting, all \p vms together cause half of the limit. */
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -274,6 +274,7 @@
         rejection_limit limit;
         bool rejections_limited = false;        ///< `limit` was in force when last checked
         std::vector<std::uint32_t> slot_owners; ///< other VMs that may use some, by address
+        std::uint32_t own_slots = 0;            ///< sum of the shares of this VM
         std::size_t vms = 1;                    ///< of the fleet
         std::size_t reporting_vms = 1;          ///< whose rejections are known
         service_load sum;
@@ -290,7 +291,7 @@
 
     // Limits of rejections, in server_table_rejections.cpp.
     void update_rejections_limited(const service_id& service, service_state& group, instant now);
-    void divide_slots(service_state& group, instant now) const;
+    void divide_slots(const service_id& service, service_state& group, instant now) const;
     static bool has_room(const service_state& group, const server_entry& row, instant now);
     static bool has_safe_slot(const service_state& group, const server_entry& row);
 
--- a/src/server_table_rejections.cpp
+++ b/src/server_table_rejections.cpp
@@ -70,7 +70,10 @@
                {"load", row.load()},
                {"own", row.in_flight},
                {"slot_share", row.slot_share},
+               {"vms", this->members.local_vms.size()},
+               {"members_complete", this->members.complete ? 1 : 0},
                {"limit", group.limit.per_s()},
+               {"limit_age_ms", group.limit.age(now) / milliseconds(1)},
                {"pause_ms", pause / milliseconds(1)}});
 }
 
@@ -82,7 +85,7 @@
     log_event(log_level::info, limited ? "rejections_limited" : "rejections_unlimited",
               {{"service", service.text}, {"per_s", group.limit.per_s()}, {"vms", group.vms}});
     // Other VMs may use their parts already, so the slots are divided before the next request.
-    if (limited) this->divide_slots(group, now);
+    if (limited) this->divide_slots(service, group, now);
 }
 
 void server_table::apply_rejections(const rejection_report& report, instant now)
@@ -128,12 +131,12 @@
             members.local_vms.size() * std::max<std::size_t>(members.data_centres.size(), 1);
         group.reporting_vms = std::clamp<std::size_t>(reporting_vms, 1, group.vms);
         this->update_rejections_limited(service, group, now);
-        if (group.rejections_limited) this->divide_slots(group, now);
+        if (group.rejections_limited) this->divide_slots(service, group, now);
     }
 }
 
 /** Computes how many requests this VM may have in flight at each server. */
-void server_table::divide_slots(service_state& group, instant now) const
+void server_table::divide_slots(const service_id& service, service_state& group, instant now) const
 {
     std::uint32_t own_slots = 0;
     for (server_entry* row : group.rows) {
@@ -145,6 +148,14 @@
         if (!row->accepts_requests()) continue;
         own_slots += row->slot_share;
     }
+    if (std::exchange(group.own_slots, own_slots) != own_slots) {
+        log_event(log_level::info, "slots_divided",
+                  {{"service", service.text},
+                   {"own_slots", own_slots},
+                   {"vms", this->members.local_vms.size()},
+                   {"data_centres", this->members.data_centres.size()},
+                   {"members_complete", this->members.complete ? 1 : 0}});
+    }
     group.slot_owners.clear();
     if (own_slots >= sufficient_slots || group.traits.engine || !this->members.complete) return;
     std::set<std::uint32_t> owners;
