Shares of servers' slots shrink, and never grow, while a VM knows less of its fleet

Callers saw servers of a plain service crash one after the other. When any VM of a data centre was discovered, every VM of it, old ones too, took one slot of each server for 3 s and relayed nothing: 62 requests at a server of 6 slots. Class: a part of a fleet's limit that grows when knowledge shrinks.

Now an old VM keeps its share, which each new VM it discovers can only reduce. A new process has none and relays until all VMs of its data centre that are alive state the same members as it does (a hash of two bytes in digests), and a second more, in which requests of an earlier process at its address end. A VM that hears no other keeps its share for half as long as the others count it, then uses one slot.

--- a/lab/plain_service.cpp
+++ b/lab/plain_service.cpp
@@ -168,8 +168,12 @@
     std::iota(data_centres.begin(), data_centres.end(), 1);
     for (std::size_t vm = 0; vm < this->routers.size(); ++vm) {
         const std::size_t centre = this->routers[vm]->centre;
-        this->routers[vm]->members = {static_cast<std::uint32_t>(vm + 1), data_centres[centre],
-                                      vms_of[centre], data_centres, true};
+        this->routers[vm]->members = {static_cast<std::uint32_t>(vm + 1),
+                                      data_centres[centre],
+                                      vms_of[centre],
+                                      data_centres,
+                                      true,
+                                      share_state::full};
     }
 }
 
--- a/src/cold_servers.cpp
+++ b/src/cold_servers.cpp
@@ -53,12 +53,38 @@
 
 } // namespace
 
+std::string_view name_of(share_state state)
+{
+    switch (state) {
+    case share_state::none:
+        return "none";
+    case share_state::minimal:
+        return "minimal";
+    case share_state::full:
+        return "full";
+    }
+    return "";
+}
+
 std::size_t share_of_vm(std::size_t total, std::uint64_t key, const fleet_members& members)
 {
     const std::size_t local = share_by_rank(total, key, members.data_centre, members.data_centres);
     return share_by_rank(local, key, members.self, members.local_vms);
 }
 
+std::size_t slots_of_vm(std::size_t slots, std::uint64_t key, const fleet_members& members)
+{
+    switch (members.share) {
+    case share_state::none:
+        return 0;
+    case share_state::minimal:
+        return std::min<std::size_t>(slots, 1);
+    case share_state::full:
+        return share_of_vm(slots, key, members);
+    }
+    return 0;
+}
+
 std::vector<std::uint32_t> local_vms_with_share(std::size_t total, std::uint64_t key,
                                                 const fleet_members& members)
 {
--- a/src/cold_servers.h
+++ b/src/cold_servers.h
@@ -18,6 +18,7 @@
 #include <optional>
 #include <random>
 #include <span>
+#include <string_view>
 #include <vector>
 
 #include "ids.h"
@@ -42,6 +43,15 @@
     }
 };
 
+/** What a VM may use of a limit that is divided among the VMs in advance. */
+enum class share_state : std::uint8_t {
+    none,    ///< it does not know the others yet, or they do not know it
+    minimal, ///< it knows of no other VM: it is alone or cut off
+    full,    ///< its share
+};
+
+std::string_view name_of(share_state state);
+
 /** The VMs that share the limit, as one VM knows them. VMs of the same data centre send digests to
  * each other, so it soon knows them all. VMs of other data centres become known indirectly, through
  * lists in digests: in a fleet of 480 VMs, two thirds of them were known 8 s after the start. */
@@ -51,6 +61,9 @@
     std::vector<std::uint32_t> local_vms;    ///< VMs of this data centre, this one included
     std::vector<std::uint32_t> data_centres; ///< all known, this VM's own included
     bool complete = false;                   ///< this VM has run for long enough to know the others
+    /** Unlike `complete`, stays `full` while new VMs are discovered: these have no share yet, and
+     * this VM's share shrinks at once. */
+    share_state share = share_state::none;
 
     void add_data_centre(std::uint32_t data_centre_hash)
     {
@@ -80,6 +93,8 @@
  * among the VMs of each. What remains goes to those that rendezvous hashing ranks highest for
  * \p key. */
 std::size_t share_of_vm(std::size_t total, std::uint64_t key, const fleet_members& members);
+/** Slots of a server that this VM may use: its share as far as it may use one. */
+std::size_t slots_of_vm(std::size_t slots, std::uint64_t key, const fleet_members& members);
 /** The VMs of this data centre that have a share. */
 std::vector<std::uint32_t> local_vms_with_share(std::size_t total, std::uint64_t key,
                                                 const fleet_members& members);
--- a/src/fleet_digest.cpp
+++ b/src/fleet_digest.cpp
@@ -107,9 +107,12 @@
     save_items(archive, item.blocked);
     save_items(archive, item.leaving_servers);
     save_items(archive, item.vms);
-    if (item.rejections.empty() && item.fleet_vms == 0) return;
-    save_items(archive, item.rejections);
-    if (item.fleet_vms != 0) archive(item.fleet_vms);
+    // Fields at the end are left out together with all after them.
+    const bool has_members = item.local_members != 0;
+    const bool has_size = has_members || item.fleet_vms != 0;
+    if (has_size || !item.rejections.empty()) save_items(archive, item.rejections);
+    if (has_size) archive(item.fleet_vms);
+    if (has_members) archive(item.local_members);
 }
 
 template <class Archive>
@@ -152,6 +155,7 @@
         };
         if (has_more()) load_items(archive, digest.rejections);
         if (has_more()) archive(digest.fleet_vms);
+        if (has_more()) archive(digest.local_members);
         return digest;
     } catch (const std::exception& fault) {
         throw peer_error("digest", peer, fault.what());
--- a/src/fleet_digest.h
+++ b/src/fleet_digest.h
@@ -153,6 +153,9 @@
     /** Largest number of VMs that the sender itself has counted recently; 0: not reported. Comes
      * after `rejections`, where VMs that do not know the field ignore it. */
     std::uint16_t fleet_vms = 0;
+    /** Hash of the addresses of the VMs of its data centre that the sender counts; 0: not reported.
+     */
+    std::uint16_t local_members = 0;
 };
 
 std::string encode(const fleet_digest& digest);
--- a/src/fleet_rounds.cpp
+++ b/src/fleet_rounds.cpp
@@ -37,6 +37,8 @@
     digest.data_centre = this->table.self().data_centre;
     digest.period_ms = static_cast<std::uint16_t>(this->round_period / milliseconds(1));
     digest.joining = this->table.is_joining(now);
+    this->table.update_share(now);
+    digest.local_members = this->table.local_members_hash();
     this->table.count_vms(now);
     digest.fleet_vms = static_cast<std::uint16_t>(std::min<std::size_t>(
         this->table.counted_vms(), std::numeric_limits<std::uint16_t>::max()));
@@ -44,6 +46,7 @@
     messages.push_back(this->make_local_digest(digest, now));
     digest.crash_reports = std::move(state.remote_crash_reports);
     this->add_remote_digests(messages, digest, now);
+    messages.push_back(this->make_member_list(digest, now));
     messages.push_back(this->make_joining_digest(digest, now));
     ++this->rounds;
     this->update_period(messages);
@@ -94,6 +97,25 @@
     }
 }
 
+/** Digest with all members of the data centre, for some VMs that are joining and count others. */
+outgoing_digest fleet_rounds::make_member_list(fleet_digest digest, instant now)
+{
+    outgoing_digest message;
+    for (auto& [address, vm] : this->table.vms()) {
+        if (message.to.size() >= max_full_replies) break;
+        const bool same_centre = vm.data_centre == this->table.self().data_centre;
+        if (!vm.answer_pending || !same_centre || vm.last.local_members == digest.local_members)
+            continue;
+        vm.answer_pending = false;
+        message.to.push_back(address);
+    }
+    if (message.to.empty()) return message;
+    digest.sequence = ++this->sequence;
+    digest.vms = this->table.local_member_reports(now);
+    message.bytes = encode(digest);
+    return message;
+}
+
 /** Digest with more liveness reports: replies to VMs that are joining, and goes to the seeds while
  * this VM is joining. */
 outgoing_digest fleet_rounds::make_joining_digest(fleet_digest digest, instant now)
--- a/src/fleet_rounds.h
+++ b/src/fleet_rounds.h
@@ -29,6 +29,8 @@
 /** Liveness reports in a digest: to any VM, and to a VM that is joining. */
 constexpr std::size_t liveness_reports_per_digest = 3;
 constexpr std::size_t liveness_reports_to_joining = 16;
+/** VMs of the same data centre that are joining and are told all its members in one round. */
+constexpr std::size_t max_full_replies = 4;
 
 /** State that a VM reports in a round. */
 struct local_state {
@@ -77,6 +79,7 @@
     void add_remote_digests(std::vector<outgoing_digest>& messages, fleet_digest digest,
                             instant now);
     outgoing_digest make_joining_digest(fleet_digest digest, instant now);
+    outgoing_digest make_member_list(fleet_digest digest, instant now);
     void update_period(std::span<const outgoing_digest> sent);
 
     std::vector<std::uint32_t> seeds;
--- a/src/fleet_table.cpp
+++ b/src/fleet_table.cpp
@@ -106,7 +106,9 @@
     vm.own_loads.apply(std::exchange(digest.own_loads, {}));
     vm.centre_loads.apply(std::exchange(digest.centre_loads, {}));
     vm.remote_loads.apply(std::exchange(digest.remote_loads, {}));
+    if (!digest.joining && this->informed_at == instant{}) this->informed_at = now;
     vm.last = std::move(digest);
+    this->update_share(now);
     return &vm;
 }
 
@@ -191,20 +193,75 @@
            now - this->last_digest_at > min_vm_silence_timeout;
 }
 
+bool fleet_table::is_complete(instant now) const
+{
+    return !this->receives_nothing(now) && now - this->receiving_since >= joining_period &&
+           now - this->local_vm_discovered_at >= membership_settle_period;
+}
+
+/** Whether the VM counts as a member of this data centre. A seed that was never seen may not exist.
+ */
+bool fleet_table::is_local_member(const fleet_vm& vm) const
+{
+    return vm.alive_at != instant{} && vm.data_centre == this->own.data_centre;
+}
+
+std::uint16_t fleet_table::local_members_hash() const
+{
+    constexpr std::uint64_t members_key = 0x6d656d;
+    std::uint64_t sum = rendezvous_weight(members_key, this->own.address);
+    for (const auto& [address, vm] : this->table) {
+        if (this->is_local_member(vm)) sum += rendezvous_weight(members_key, address);
+    }
+    return std::max<std::uint16_t>(static_cast<std::uint16_t>(sum), 1);
+}
+
+/** Whether all VMs of this data centre that are alive count the same members as this VM. Then they
+ * count this VM, too, and it knows all that they know. */
+bool fleet_table::local_vms_agree(instant now) const
+{
+    const std::uint16_t own_hash = this->local_members_hash();
+    return std::ranges::all_of(this->table, [&](const auto& entry) {
+        const fleet_vm& vm = entry.second;
+        if (!this->is_local_member(vm)) return true;
+        if (is_responsive(vm, now)) return vm.last.local_members == own_hash;
+        // Others see it, and its first digest is still to come.
+        const bool expected =
+            vm.last_received_at == instant{} && now - vm.alive_at <= remote_vm_timeout;
+        return !expected;
+    });
+}
+
+void fleet_table::update_share(instant now)
+{
+    const bool alone = now - std::max(this->last_digest_at, this->started_at) >
+                       (this->receiving_since == instant{} ? joining_period : share_lease);
+    if (alone) {
+        this->share = share_state::minimal;
+        return;
+    }
+    if (this->receiving_since == instant{}) return;
+    if (this->share == share_state::minimal) this->share = share_state::none;
+    if (this->share == share_state::full) return;
+    const instant joined_at =
+        this->is_informed() ? this->informed_at : this->started_at + joining_period;
+    const instant changed_at = std::max(joined_at, this->local_vm_discovered_at);
+    const bool agreed = now - changed_at >= share_delay && this->local_vms_agree(now);
+    if (agreed || this->is_complete(now)) this->share = share_state::full;
+}
+
 fleet_members fleet_table::members(instant now) const
 {
     fleet_members found;
     found.self = this->own.address;
     found.data_centre = this->own.data_centre;
-    found.complete = !this->receives_nothing(now) &&
-                     now - this->receiving_since >= joining_period &&
-                     now - this->local_vm_discovered_at >= membership_settle_period;
+    found.complete = this->is_complete(now);
+    found.share = this->share;
     found.local_vms.push_back(this->own.address);
     found.data_centres.push_back(this->own.data_centre);
     for (const auto& [address, vm] : this->table) {
-        // A seed that was never seen may not exist.
         if (vm.alive_at == instant{}) continue;
-        if (vm.data_centre == this->own.data_centre) found.local_vms.push_back(address);
+        if (this->is_local_member(vm)) found.local_vms.push_back(address);
         found.add_data_centre(vm.data_centre);
     }
     return found;
@@ -233,6 +290,16 @@
     return vm_liveness_report{vm.address, vm.data_centre, to_age(now - vm.alive_at)};
 }
 
+std::vector<vm_liveness_report> fleet_table::local_member_reports(instant now) const
+{
+    std::vector<vm_liveness_report> reports;
+    for (const auto& [address, vm] : this->table) {
+        if (this->is_local_member(vm))
+            reports.push_back({address, vm.data_centre, to_age(now - vm.alive_at)});
+    }
+    return reports;
+}
+
 std::vector<vm_liveness_report>
 fleet_table::liveness_reports(std::size_t count, std::span<const std::uint32_t> delegates,
                               instant now)
--- a/src/fleet_table.h
+++ b/src/fleet_table.h
@@ -50,6 +50,14 @@
  * 480 VMs that all start at once, each is told the true size within 500 ms. */
 constexpr duration fleet_size_settle_period = seconds(2);
 
+/** The members of the data centre must not have changed for this long, in the view of this VM and
+ * of the others, before it may use a share of a limit. Longer than most requests take that an
+ * earlier process at its address may have sent. */
+constexpr duration share_delay = seconds(1);
+/** A VM that receives no digests gives up its share after this time, and the others may divide it
+ * again after `dead_vm_retention`. */
+constexpr duration share_lease = dead_vm_retention / 2;
+
 /** One other VM. */
 struct fleet_vm {
     std::uint32_t address = 0;     ///< IPv4, host order
@@ -111,6 +119,12 @@
     /** The VMs of this data centre in the table, including recently lost ones, and the data centres
      * of all VMs in the table. */
     [[nodiscard]] fleet_members members(instant now) const;
+    /** Whether a VM that had joined before sent a digest: it told what is in force in the fleet. */
+    [[nodiscard]] bool is_informed() const { return this->informed_at != instant{}; }
+    /** Decides what this VM may use of divided limits. Called for each digest and each round. */
+    void update_share(instant now);
+    /** Hash of the VMs of this data centre that `members` returns; never 0. */
+    [[nodiscard]] std::uint16_t local_members_hash() const;
     /** Whether digests used to arrive from other VMs, and none has arrived recently. */
     [[nodiscard]] bool is_isolated(instant now) const;
     [[nodiscard]] const store_status& store() const { return this->reported_store; }
@@ -125,11 +139,16 @@
      * delegate if possible, since all VMs must learn in time that a delegate is alive. */
     std::vector<vm_liveness_report>
     liveness_reports(std::size_t count, std::span<const std::uint32_t> delegates, instant now);
+    /** Reports on all VMs of this data centre that count as members, recently lost ones too. */
+    [[nodiscard]] std::vector<vm_liveness_report> local_member_reports(instant now) const;
 
 private:
     [[nodiscard]] std::optional<vm_liveness_report> make_liveness_report(const fleet_vm& vm,
                                                                          instant now) const;
     [[nodiscard]] bool receives_nothing(instant now) const;
+    [[nodiscard]] bool is_local_member(const fleet_vm& vm) const;
+    [[nodiscard]] bool local_vms_agree(instant now) const;
+    [[nodiscard]] bool is_complete(instant now) const;
     void record_vm(std::uint32_t address, std::uint32_t data_centre, instant alive, instant now);
 
     identity own;
@@ -137,6 +156,8 @@
     instant started_at{};
     instant first_digest_at{}; ///< the epoch: none yet
     instant last_digest_at{};
+    instant informed_at{}; ///< first digest of a VM that had joined; the epoch: none yet
+    share_state share = share_state::none;
     instant local_vm_discovered_at{}; ///< when a new VM of this data centre was last discovered
     instant receiving_since{};        ///< digests arrive without a long gap; the epoch: none yet
     std::map<std::uint32_t, fleet_vm> table; ///< by address
--- a/src/server_table_rejections.cpp
+++ b/src/server_table_rejections.cpp
@@ -71,7 +71,7 @@
                {"own", row.in_flight},
                {"slot_share", row.slot_share},
                {"vms", this->members.local_vms.size()},
-               {"members_complete", this->members.complete ? 1 : 0},
+               {"share", name_of(this->members.share)},
                {"limit", group.limit.per_s()},
                {"limit_age_ms", group.limit.age(now) / milliseconds(1)},
                {"pause_ms", pause / milliseconds(1)}});
@@ -141,10 +141,8 @@
     std::uint32_t own_slots = 0;
     for (server_entry* row : group.rows) {
         if (now - row->full_at > full_load_lifetime) row->full_load.reset();
-        // A VM that does not know the others yet may use one slot.
-        const std::size_t share =
-            this->members.complete ? share_of_vm(row->record.slots, row->hash, this->members) : 1;
-        row->slot_share = static_cast<std::uint32_t>(share);
+        row->slot_share =
+            static_cast<std::uint32_t>(slots_of_vm(row->record.slots, row->hash, this->members));
         if (!row->accepts_requests()) continue;
         own_slots += row->slot_share;
     }
@@ -154,10 +152,11 @@
                    {"own_slots", own_slots},
                    {"vms", this->members.local_vms.size()},
                    {"data_centres", this->members.data_centres.size()},
-                   {"members_complete", this->members.complete ? 1 : 0}});
+                   {"share", name_of(this->members.share)}});
     }
     group.slot_owners.clear();
-    if (own_slots >= sufficient_slots || group.traits.engine || !this->members.complete) return;
+    const bool members_known = !this->members.local_vms.empty();
+    if (own_slots >= sufficient_slots || group.traits.engine || !members_known) return;
     std::set<std::uint32_t> owners;
     for (const server_entry* row : group.rows) {
         if (!row->accepts_requests()) continue;
--- a/test/error/servers_with_rejection_limits.cpp
+++ b/test/error/servers_with_rejection_limits.cpp
@@ -73,7 +73,7 @@
     /** The VM is the only one of its fleet. */
     void divide_slots() const
     {
-        const fleet_members members{1, 1, {1}, {1}, true};
+        const fleet_members members{1, 1, {1}, {1}, true, share_state::full};
         this->rig->table.update_rejection_limits(members, 1, std::chrono::steady_clock::now());
     }
 
@@ -189,8 +189,8 @@
             CPPUNIT_ASSERT_EQUAL(200, status_in(ask(vm, std::to_string(vm))));
             server_entry& row = group.table(vm).rows().begin()->second;
             row.record.slots = 1;
-            group.table(vm).update_rejection_limits({vms[vm], 1, vms, {1}, true}, 2,
-                                                    std::chrono::steady_clock::now());
+            group.table(vm).update_rejection_limits({vms[vm], 1, vms, {1}, true, share_state::full},
+                                                    2, std::chrono::steady_clock::now());
         }
         const std::size_t before = desk.requests.size();
         for (std::size_t vm = 0; vm < group.size(); ++vm)
