Limits of rejections are told as a state with an age; a process that starts waits for them

A new process sent to servers without any limit until a response or a digest stated one, and digests told it only within a second after a server had. Now each digest has the limits in force with the time since a server last stated them, and a process that knows the servers waits up to 250 ms for a digest of a VM that had joined before it serves. A limit that responses ended is not begun again by an older report.

--- a/src/fleet_digest.cpp
+++ b/src/fleet_digest.cpp
@@ -60,6 +60,12 @@
     archive(item.server, item.count, item.limit);
 }
 
+template <class Archive>
+void serialize(Archive& archive, service_limit& item)
+{
+    archive(item.service, item.per_s, item.age);
+}
+
 template <class Archive>
 void serialize(Archive& archive, crash_report& item)
 {
@@ -108,11 +114,13 @@
     save_items(archive, item.leaving_servers);
     save_items(archive, item.vms);
     // Fields at the end are left out together with all after them.
-    const bool has_members = item.local_members != 0;
+    const bool has_limits = !item.limits.empty();
+    const bool has_members = has_limits || item.local_members != 0;
     const bool has_size = has_members || item.fleet_vms != 0;
     if (has_size || !item.rejections.empty()) save_items(archive, item.rejections);
     if (has_size) archive(item.fleet_vms);
     if (has_members) archive(item.local_members);
+    if (has_limits) save_items(archive, item.limits);
 }
 
 template <class Archive>
@@ -156,6 +164,7 @@
         if (has_more()) load_items(archive, digest.rejections);
         if (has_more()) archive(digest.fleet_vms);
         if (has_more()) archive(digest.local_members);
+        if (has_more()) load_items(archive, digest.limits);
         return digest;
     } catch (const std::exception& fault) {
         throw peer_error("digest", peer, fault.what());
--- a/src/fleet_digest.h
+++ b/src/fleet_digest.h
@@ -75,6 +75,16 @@
 /** Maximum number of servers with rejections in one digest. */
 constexpr std::size_t max_rejection_reports = 8;
 
+/** Limit of rejections that the servers of one service stated to some VM. */
+struct service_limit {
+    std::uint32_t service = 0; ///< low half of the hash of its name
+    std::uint16_t per_s = 0;   ///< rejections per second that one of its servers survives
+    std::uint8_t age = 0;      ///< since a server last stated it, in units of `limit_age_unit`
+};
+constexpr duration limit_age_unit = milliseconds(100);
+/** Maximum number of limits in one digest; the newest are kept. */
+constexpr std::size_t max_service_limits = 8;
+
 /** A server crashed while a request was in flight there. */
 struct crash_report {
     std::uint64_t content = 0; ///< hash of the request's content
@@ -156,6 +166,7 @@
     /** Hash of the addresses of the VMs of its data centre that the sender counts; 0: not reported.
      */
     std::uint16_t local_members = 0;
+    std::vector<service_limit> limits; ///< in force
 };
 
 std::string encode(const fleet_digest& digest);
--- a/src/rejection_limit.h
+++ b/src/rejection_limit.h
@@ -44,13 +44,17 @@
             this->received_at = now;
         } else if (now - this->stated_at > overtaking_time) {
             this->stated_at = {};
+            this->confirmed_at = {};
+            this->ended_at = now;
         }
     }
-    /** Another VM reports that servers stated the limit to it. */
-    void on_reported(std::uint32_t reported, instant now)
+    /** Another VM reports that a server stated the limit at \p at. Ignored if responses to this VM
+     * ended the limit later. */
+    void on_reported(std::uint32_t reported, instant at, instant now)
     {
+        if (at <= this->ended_at) return;
         if (!this->in_force(now)) this->rejections_per_s = reported;
-        this->stated_at = now;
+        this->stated_at = std::max(this->stated_at, at);
     }
     /** Whether to report it to other VMs: servers stated it to this VM just now. Reports do not
      * cause further ones, so that they end soon after the statements do. */
@@ -61,15 +65,22 @@
     /** Another VM acts on the limit. */
     void on_confirmed(instant now)
     {
-        if (this->in_force(now)) this->stated_at = now;
+        if (this->in_force(now)) this->confirmed_at = now;
     }
     [[nodiscard]] bool in_force(instant now) const
     {
-        return this->stated_at != instant{} && now - this->stated_at <= statement_lifetime;
+        const instant last = std::max(this->stated_at, this->confirmed_at);
+        return last != instant{} && now - last <= statement_lifetime;
+    }
+    /** Time since a server last stated the limit, to this VM or to another; std::nullopt: no longer
+     * worth reporting. */
+    [[nodiscard]] std::optional<duration> statement_age(instant now) const
+    {
+        const bool current =
+            this->stated_at != instant{} && now - this->stated_at <= statement_lifetime;
+        return current ? std::optional(now - this->stated_at) : std::nullopt;
     }
     [[nodiscard]] std::uint32_t per_s() const { return this->rejections_per_s; }
-    /** Time since the limit was last stated, for the log. */
-    [[nodiscard]] duration age(instant now) const { return now - this->stated_at; }
 
     /** How long a VM sends nothing to a server that rejected its request. If the server goes on
      * rejecting, all \p vms together cause half of the limit. */
@@ -82,8 +93,10 @@
 
 private:
     std::uint32_t rejections_per_s = 0;
-    instant stated_at{};   ///< by servers or other VMs; the epoch: no limit
-    instant received_at{}; ///< when a server last stated it to this VM
+    instant stated_at{};    ///< by a server, to this VM or to another; the epoch: no limit
+    instant received_at{};  ///< when a server last stated it to this VM
+    instant confirmed_at{}; ///< when another VM last acted on it
+    instant ended_at{};     ///< when responses last ended it; the epoch: never
 };
 
 } // namespace worksshift
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -30,6 +30,9 @@
  * servers are known. All three are requested at the same time; a store that fails to return only
  * this list must not keep the VM from serving. */
 constexpr duration max_evacuations_wait = milliseconds(500);
+/** The same for a digest that tells which limits of servers are in force. There is none if the
+ * whole fleet has just started. */
+constexpr duration max_limits_wait = milliseconds(250);
 constexpr duration assignment_period = milliseconds(100);
 constexpr duration suspects_announce_period = milliseconds(500);
 /** Digests carry request rates in tenths of a request per second, as a 16-bit number. */
@@ -252,6 +255,7 @@
         }
         for (const rejection_report& rejections : from.last.rejections)
             this->servers.apply_rejections(rejections, from.last_received_at);
+        this->apply_limits(from);
         for (const std::uint32_t incarnation : from.last.leaving_servers) {
             if (!this->servers.mark_leaving(server_incarnation{incarnation})) continue;
             const server_entry* row = this->servers.find(server_incarnation{incarnation});
@@ -272,6 +276,12 @@
     this->servers.set_regions(this->options.regions);
 }
 
+void router::apply_limits(const fleet_vm& from)
+{
+    for (const service_limit& limit : from.last.limits)
+        this->servers.apply_limit(limit, from.last_received_at, now());
+}
+
 /** Starts routing once both configuration and servers are known; until then requests wait. */
 void router::start_serving()
 {
@@ -279,13 +289,18 @@
     if (this->serving || config == nullptr || !this->registry.usable()) return;
     const instant time = now();
     if (this->routable_since == instant{}) this->routable_since = time;
-    const bool wait_expired = time - this->routable_since > max_evacuations_wait;
-    if (!this->evacuations.known() && !wait_expired) return;
+    const duration waited = time - this->routable_since;
+    if (!this->evacuations.known() && waited <= max_evacuations_wait) return;
+    if (!this->gossip.fleet().is_informed() && waited <= max_limits_wait) return;
     this->serving = true;
+    // Digests may have come before the servers were known.
+    for (const auto& [address, vm] : this->gossip.fleet().vms())
+        this->apply_limits(vm);
     this->path.set_config(config);
     log_event(log_level::info, "serving",
               {{"config", config->version},
                {"servers", this->servers.rows().size()},
+               {"informed", this->gossip.fleet().is_informed() ? 1 : 0},
                {"evacuations", this->evacuations.revision()}});
 }
 
@@ -379,6 +394,7 @@
     state.digest.reported_loads = this->servers.drain_reported_loads(time);
     state.digest.outcomes = this->servers.drain_outcomes();
     state.digest.rejections = this->servers.drain_rejections(time);
+    state.digest.limits = this->servers.limits_in_force(time);
     this->registry.describe(state.digest, time);
     this->evacuations.describe(state.digest, this->registry.known());
     this->path.suspects().fill_digest(state.digest, time);
--- a/src/router.h
+++ b/src/router.h
@@ -47,6 +47,7 @@
     void connect_signals();
     void apply_placement();
     void start_serving();
+    void apply_limits(const fleet_vm& from);
     void check_suspension();
     void follow_store(instant now);
     void update_peer_loads(instant now);
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -130,6 +130,10 @@
     /** Returns the limits that servers stated to this VM just now, and the rejections of its
      * requests since the last call. */
     std::vector<rejection_report> drain_rejections(instant now);
+    /** The limits in force, for other VMs. */
+    [[nodiscard]] std::vector<service_limit> limits_in_force(instant now) const;
+    /** Applies a limit that another VM reported. */
+    void apply_limit(const service_limit& reported, instant received_at, instant now);
     /** Computes what this VM may send to servers whose rejections are limited. Called once per
      * tick. \p reporting_vms: VMs whose rejections are known, this one included. */
     void update_rejection_limits(const fleet_members& members, std::size_t reporting_vms,
--- a/src/server_table_rejections.cpp
+++ b/src/server_table_rejections.cpp
@@ -26,6 +26,11 @@
 /** The load at which an engine was full is taken for its capacity for this long. */
 constexpr duration full_load_lifetime = seconds(5);
 
+std::uint32_t short_hash(const service_id& service)
+{
+    return static_cast<std::uint32_t>(service.hash());
+}
+
 bool has_own_slot(const server_entry& row, instant now)
 {
     return row.accepts_requests() && row.health.usable(now) && now >= row.rejection_pause_until &&
@@ -73,7 +78,8 @@
                {"vms", this->members.local_vms.size()},
                {"share", name_of(this->members.share)},
                {"limit", group.limit.per_s()},
-               {"limit_age_ms", group.limit.age(now) / milliseconds(1)},
+               {"limit_age_ms",
+                group.limit.statement_age(now).value_or(-milliseconds(1)) / milliseconds(1)},
                {"pause_ms", pause / milliseconds(1)}});
 }
 
@@ -94,7 +100,7 @@
     if (found == this->by_short_hash.end()) return;
     server_entry& row = *found->second;
     service_state& group = this->services[row.record.service];
-    group.limit.on_reported(report.limit, now);
+    group.limit.on_reported(report.limit, now, now);
     this->update_rejections_limited(row.record.service, group, now);
     for (unsigned i = 0; i < report.count; ++i)
         row.rejections.on_request(now);
@@ -122,6 +128,35 @@
     return reports;
 }
 
+std::vector<service_limit> server_table::limits_in_force(instant now) const
+{
+    constexpr std::int64_t max_age = std::numeric_limits<std::uint8_t>::max();
+    constexpr std::uint32_t max_limit = std::numeric_limits<std::uint16_t>::max();
+    std::vector<service_limit> limits;
+    for (const auto& [service, group] : this->services) {
+        const std::optional<duration> age = group.limit.statement_age(now);
+        if (!age) continue;
+        limits.push_back({short_hash(service),
+                          static_cast<std::uint16_t>(std::min(group.limit.per_s(), max_limit)),
+                          static_cast<std::uint8_t>(
+                              std::min<std::int64_t>(*age / limit_age_unit + 1, max_age))});
+    }
+    std::ranges::sort(limits, {}, &service_limit::age);
+    limits.resize(std::min(limits.size(), max_service_limits));
+    return limits;
+}
+
+void server_table::apply_limit(const service_limit& reported, instant received_at, instant now)
+{
+    const auto found = std::ranges::find_if(this->services, [&](const auto& entry) {
+        return short_hash(entry.first) == reported.service;
+    });
+    if (found == this->services.end()) return;
+    auto& [service, group] = *found;
+    group.limit.on_reported(reported.per_s, received_at - reported.age * limit_age_unit, now);
+    this->update_rejections_limited(service, group, now);
+}
+
 void server_table::update_rejection_limits(const fleet_members& members, std::size_t reporting_vms,
                                            instant now)
 {
--- a/test/support/limited_fleet.cpp
+++ b/test/support/limited_fleet.cpp
@@ -17,7 +17,8 @@
 constexpr duration large_update_period = milliseconds(300);
 constexpr std::size_t large_fleet = 200; ///< VMs
 constexpr duration hop_time = milliseconds(1);
-constexpr duration start_time = milliseconds(50); ///< until a process knows the servers
+constexpr duration start_time = milliseconds(50);       ///< until a process knows the servers
+constexpr duration max_limits_wait = milliseconds(250); ///< of a process, once it knows the servers
 constexpr duration server_restart_time = seconds(3);
 constexpr duration caller_retry_after = milliseconds(400);
 constexpr duration leave_after = milliseconds(100); ///< callers who leave do so then
@@ -170,6 +171,14 @@
     return this->gossip.vms.contains(vm) && this->now >= this->vms.at(vm)->suspended_until;
 }
 
+/** Whether the VM knows the servers, and the limits or that nobody tells them. */
+bool limited_fleet::is_serving(std::size_t vm) const
+{
+    const duration known_for = this->now - this->vms.at(vm)->serving_at;
+    const bool informed = this->gossip.vms.at(vm).rounds.fleet().is_informed();
+    return known_for >= duration::zero() && (informed || known_for > max_limits_wait);
+}
+
 bool limited_fleet::is_settled(std::size_t vm) const
 {
     return this->is_running(vm) && !this->cut_vms.contains(vm) &&
@@ -224,7 +233,7 @@
 {
     std::vector<std::size_t> serving;
     for (const auto& [vm, model] : this->vms) {
-        if (this->is_running(vm) && this->now >= model->serving_at) serving.push_back(vm);
+        if (this->is_running(vm) && this->is_serving(vm)) serving.push_back(vm);
     }
     if (serving.empty()) return this->vms.begin()->first;
     return serving[std::uniform_int_distribution<std::size_t>(0, serving.size() - 1)(this->random)];
@@ -552,6 +561,7 @@
 {
     server_table& table = this->vms.at(vm)->table;
     state.digest.rejections = table.drain_rejections(this->gossip.now);
+    state.digest.limits = table.limits_in_force(this->gossip.now);
     state.digest.outcomes = table.drain_outcomes();
     state.digest.reported_loads = table.drain_reported_loads(this->gossip.now);
     for (const auto& [id, row] : table.rows()) {
@@ -569,6 +579,8 @@
         table.apply_outcomes(counts, from.last_received_at, milliseconds(from.last.period_ms));
     for (const rejection_report& report : from.last.rejections)
         table.apply_rejections(report, from.last_received_at);
+    for (const service_limit& limit : from.last.limits)
+        table.apply_limit(limit, from.last_received_at, from.last_received_at);
 }
 
 } // namespace support
--- a/test/support/limited_fleet.h
+++ b/test/support/limited_fleet.h
@@ -152,6 +152,7 @@
     void receive(std::size_t vm, const worksshift::fleet_vm& from);
     [[nodiscard]] bool is_running(std::size_t vm) const;
     [[nodiscard]] bool is_settled(std::size_t vm) const;
+    [[nodiscard]] bool is_serving(std::size_t vm) const;
     [[nodiscard]] std::size_t any_serving_vm();
     worksshift::server_entry& row_at(const request& item);
     void note_load(const request& item, std::uint32_t load);
