A request that was given up keeps its slot while its server may work on it

The VM counted the slot as free at once when a caller left or a server was silent, while half of the servers, in the worst case, run such a request to its end; the next request was rejected. It now counts for twice the mean time of a request there, 2 s at most, and no longer than the time limit that the server got.

--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -527,6 +527,7 @@
     request.row->health.on_failure(time);
     server_table::on_attempt_ended(*request.row, time - request.sent_at, true, time);
     this->servers.cancel(request.attempt);
+    this->table.on_given_up(*request.row, request.deadline, time);
     this->release(request);
 }
 
@@ -683,6 +684,7 @@
     if (request.row != nullptr) {
         request.row->health.on_neutral();
         this->servers.cancel(request.attempt);
+        this->table.on_given_up(*request.row, request.deadline, now());
         this->release(request);
     }
     this->cancel_relay(request, relay_result::unknown);
--- a/src/server_entry.h
+++ b/src/server_entry.h
@@ -4,7 +4,9 @@
  */
 #pragma once
 
+#include <algorithm>
 #include <optional>
+#include <vector>
 
 #include "cold_servers.h"
 #include "crash_suspects.h"
@@ -57,8 +59,9 @@
     instant backoff_until{}; ///< backing off until then; the epoch: never
 
     // Used while the rejections of its service are limited, see rejection_limit.h.
-    instant rejection_pause_until{}; ///< nothing is sent before then, as it rejected a request
-    std::uint32_t slot_share = 0;    ///< slots that this VM may use
+    instant rejection_pause_until{};     ///< nothing is sent before then, as it rejected a request
+    std::uint32_t slot_share = 0;        ///< slots that this VM may use
+    std::vector<instant> given_up_until; ///< attempts that were cancelled may run until then
     std::optional<std::uint32_t> full_load; ///< load at which it was full recently
     instant full_at{};                      ///< when it was
     demand_meter rejections;                ///< of requests of this VM and those that report them
@@ -114,6 +117,13 @@
     {
         return this->failing && !this->trial.open(now);
     }
+    /** Attempts of this VM that may occupy a slot of the server. */
+    [[nodiscard]] std::size_t occupied_slots(instant now) const
+    {
+        return this->in_flight +
+               static_cast<std::size_t>(std::ranges::count_if(
+                   this->given_up_until, [now](instant until) { return now < until; }));
+    }
     /** Whether the row may be removed. */
     [[nodiscard]] bool is_removable() const { return this->gone && this->in_flight == 0; }
     /** Whether the server may get new requests, as far as its lifecycle goes. */
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -125,6 +125,9 @@
     void note_queue(server_entry& row, std::uint32_t running, instant now);
     /** The server rejected a request because it is full. */
     void on_rejected(server_entry& row, instant now);
+    /** An attempt was cancelled whose time limit at the server is \p deadline. The server may work
+     * on it for a while. */
+    void on_given_up(server_entry& row, instant deadline, instant now);
     /** Applies the rejections and the limit that another VM reports. */
     void apply_rejections(const rejection_report& report, instant now);
     /** Returns the limits that servers stated to this VM just now, and the rejections of its
--- a/src/server_table_rejections.cpp
+++ b/src/server_table_rejections.cpp
@@ -31,10 +31,23 @@
     return static_cast<std::uint32_t>(service.hash());
 }
 
+/** Bounds of the time for which a server may work on a request that was given up. */
+constexpr duration min_given_up_time = milliseconds(100);
+constexpr duration max_given_up_time = seconds(2);
+
 bool has_own_slot(const server_entry& row, instant now)
 {
     return row.accepts_requests() && row.health.usable(now) && now >= row.rejection_pause_until &&
-           row.in_flight < row.slot_share;
+           row.occupied_slots(now) < row.slot_share;
+}
+
+/** Mean time of recent requests at the server. */
+duration mean_time(const server_entry& row)
+{
+    const double weight = row.outcomes.weight();
+    if (weight <= 0) return {};
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(row.outcomes.total_seconds() / weight));
 }
 
 } // namespace
@@ -83,6 +96,16 @@
                {"pause_ms", pause / milliseconds(1)}});
 }
 
+void server_table::on_given_up(server_entry& row, instant deadline, instant now)
+{
+    const service_state& group = this->services[row.record.service];
+    if (!group.rejections_limited) return;
+    const duration mean = group.traits.engine ? group.forecast.span() : mean_time(row);
+    const duration span = std::clamp<duration>(mean * 2, min_given_up_time, max_given_up_time);
+    std::erase_if(row.given_up_until, [now](instant until) { return until <= now; });
+    row.given_up_until.push_back(std::min(deadline, now + span));
+}
+
 void server_table::update_rejections_limited(const service_id& service, service_state& group,
                                              instant now)
 {
@@ -239,7 +262,7 @@
     if (now < row.rejection_pause_until) return false;
     if (group.rejections_at(row, now) >= max_rejections) return false;
     if (group.traits.engine) return true; // see has_safe_slot
-    return row.in_flight < row.slot_share;
+    return row.occupied_slots(now) < row.slot_share;
 }
 
 /** Whether an engine whose rejections are limited has a slot for one more request. */
--- a/test/support/limited_fleet.cpp
+++ b/test/support/limited_fleet.cpp
@@ -515,7 +515,9 @@
     const bool running = std::ranges::find(target.running, id) != target.running.end();
     if (!running || this->vms.at(item.sender)->life != item.life) return;
     item.left = true;
-    --this->row_at(item).in_flight;
+    server_entry& row = this->row_at(item);
+    --row.in_flight;
+    this->vms.at(item.sender)->table.on_given_up(row, this->now + seconds(3), this->now);
     if (std::uniform_real_distribution<>()(this->random) >= this->options.orphan_share)
         std::erase(target.running, id);
     this->end(item, true);
