Slots of engines are divided among the VMs, too, while rejections are limited

Engines were held below their slots by a margin for the age of their reported loads. At twice the usual load that did not hold: each VM that saw a free slot sent to it at once, three rejections within the time of a digest crashed the engine, and its load moved on. Beside it, half of 12 slots stayed unused. Now the slots are divided in advance as those of plain services are. A VM takes the engine that ranks highest for the prompt among those where it has a slot, and relays when it has none anywhere. A VM uses a share that it has got only 3 s later, as requests last that long.

--- a/src/cold_servers.h
+++ b/src/cold_servers.h
@@ -64,6 +64,7 @@
     /** Unlike `complete`, stays `full` while new VMs are discovered: these have no share yet, and
      * this VM's share shrinks at once. */
     share_state share = share_state::none;
+    instant share_since{}; ///< when `share` last changed
 
     void add_data_centre(std::uint32_t data_centre_hash)
     {
--- a/src/fleet_table.cpp
+++ b/src/fleet_table.cpp
@@ -232,22 +232,23 @@
     });
 }
 
-void fleet_table::update_share(instant now)
+share_state fleet_table::next_share(instant now) const
 {
-    const bool alone = now - std::max(this->last_digest_at, this->started_at) >
-                       (this->receiving_since == instant{} ? joining_period : share_lease);
-    if (alone) {
-        this->share = share_state::minimal;
-        return;
-    }
-    if (this->receiving_since == instant{}) return;
-    if (this->share == share_state::minimal) this->share = share_state::none;
-    if (this->share == share_state::full) return;
+    const bool never_received = this->receiving_since == instant{};
+    const duration alone_after = never_received ? joining_period : share_lease;
+    if (now - this->last_digest_at > alone_after) return share_state::minimal;
+    if (never_received) return share_state::none;
+    if (this->share == share_state::full) return share_state::full;
     const instant joined_at =
         this->is_informed() ? this->informed_at : this->started_at + joining_period;
     const instant changed_at = std::max(joined_at, this->local_vm_discovered_at);
     const bool agreed = now - changed_at >= share_delay && this->local_vms_agree(now);
-    if (agreed || this->is_complete(now)) this->share = share_state::full;
+    return agreed || this->is_complete(now) ? share_state::full : share_state::none;
+}
+
+void fleet_table::update_share(instant now)
+{
+    if (std::exchange(this->share, this->next_share(now)) != this->share) this->share_since = now;
 }
 
 fleet_members fleet_table::members(instant now) const
@@ -257,6 +258,7 @@
     found.data_centre = this->own.data_centre;
     found.complete = this->is_complete(now);
     found.share = this->share;
+    found.share_since = this->share_since;
     found.local_vms.push_back(this->own.address);
     found.data_centres.push_back(this->own.data_centre);
     for (const auto& [address, vm] : this->table) {
--- a/src/fleet_table.h
+++ b/src/fleet_table.h
@@ -146,6 +146,7 @@
     [[nodiscard]] std::optional<vm_liveness_report> make_liveness_report(const fleet_vm& vm,
                                                                          instant now) const;
     [[nodiscard]] bool receives_nothing(instant now) const;
+    [[nodiscard]] share_state next_share(instant now) const;
     [[nodiscard]] bool is_local_member(const fleet_vm& vm) const;
     [[nodiscard]] bool local_vms_agree(instant now) const;
     [[nodiscard]] bool is_complete(instant now) const;
@@ -158,6 +159,7 @@
     instant last_digest_at{};
     instant informed_at{}; ///< first digest of a VM that had joined; the epoch: none yet
     share_state share = share_state::none;
+    instant share_since{};
     instant local_vm_discovered_at{}; ///< when a new VM of this data centre was last discovered
     instant receiving_since{};        ///< digests arrive without a long gap; the epoch: none yet
     std::map<std::uint32_t, fleet_vm> table; ///< by address
--- a/src/rejection_limit.h
+++ b/src/rejection_limit.h
@@ -4,10 +4,12 @@
  * Such servers state in their responses how many rejections per second they survive, and may then
  * accept fewer waiting requests without notice. The rejections of all VMs count together, and the
  * VMs learn of each other's requests too late to count them. So rejections are prevented:
- * - The slots of each server of a plain service are divided among the VMs in advance. A VM that has
- *   few or none, as in a fleet with more VMs than slots, relays requests through VMs that have some
- *   while it has none free.
- * - Model engines report their load, which changes slowly; they get requests up to their slots.
+ * - The slots of each server are divided among the VMs in advance. A VM that has few or none, as in
+ *   a fleet with more VMs than slots, relays requests through VMs that have some while it has none
+ *   free. Model engines report their load, but too late to keep several VMs from sending to the
+ *   last free slot at once.
+ * - A VM that has just started uses no slots until the others count it, and relays its requests.
+ * - A request that was given up keeps its slot for as long as its server may still work on it.
  *
  * VMs report the rejections that occur nevertheless to each other. A server that rejected a request
  * gets none from its VM for a pause, and none from any VM that knows of half as many rejections as
--- a/src/request_path_relay.cpp
+++ b/src/request_path_relay.cpp
@@ -63,7 +63,7 @@
     const instant time = now();
     service_reach* reach = this->table.reach_of(request.service);
     if (reach == nullptr) return false;
-    if (!request.engine && this->relay_for_slot(request, time)) return true;
+    if (this->relay_for_slot(request, time)) return true;
     // A request that another VM did not serve goes on to the next one, also as a trial.
     const bool refused = request.relay_refusals > 0;
     const bool trial = !reach->cut_off() && reach->trial_due(time);
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -635,7 +635,6 @@
 bool server_table::has_slot(const service_state& group, const server_entry& row, bool high_ranked,
                             double spread) const
 {
-    if (group.rejections_limited && !has_safe_slot(group, row)) return false;
     const duration limit = this->wait_limit(group);
     if (limit == duration::max()) return true;
     if (high_ranked) return group.forecast.wait(row.load() + spread, row.record.slots) <= limit;
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -300,7 +300,6 @@
     void update_rejections_limited(const service_id& service, service_state& group, instant now);
     void divide_slots(const service_id& service, service_state& group, instant now) const;
     static bool has_room(const service_state& group, const server_entry& row, instant now);
-    static bool has_safe_slot(const service_state& group, const server_entry& row);
 
     [[nodiscard]] bool has_slot(const service_state& group, const server_entry& row,
                                 bool high_ranked, double spread) const;
--- a/src/server_table_rejections.cpp
+++ b/src/server_table_rejections.cpp
@@ -18,9 +18,6 @@
 /** A VM with fewer slots of a service than this relays requests through VMs that have some while
  * its own are in use. */
 constexpr std::uint32_t sufficient_slots = 4;
-/** Margin for the requests that an engine got since it reported its load, in standard deviations.
- */
-constexpr double load_margin_deviations = 2;
 /** Estimated rejections, as a share of the limit, at which a server gets no requests. */
 constexpr double max_rejections = 0.5;
 /** The load at which an engine was full is taken for its capacity for this long. */
@@ -31,6 +28,9 @@
     return static_cast<std::uint32_t>(service.hash());
 }
 
+/** A VM uses no slot of an engine for this long after it got its share: the requests of the VMs
+ * that had it before last seconds. */
+constexpr duration engine_share_delay = seconds(3);
 /** Bounds of the time for which a server may work on a request that was given up. */
 constexpr duration min_given_up_time = milliseconds(100);
 constexpr duration max_given_up_time = seconds(2);
@@ -197,10 +197,13 @@
 void server_table::divide_slots(const service_id& service, service_state& group, instant now) const
 {
     std::uint32_t own_slots = 0;
+    const bool delayed =
+        group.traits.engine && now - this->members.share_since < engine_share_delay;
     for (server_entry* row : group.rows) {
         if (now - row->full_at > full_load_lifetime) row->full_load.reset();
-        row->slot_share =
-            static_cast<std::uint32_t>(slots_of_vm(row->record.slots, row->hash, this->members));
+        const std::size_t slots =
+            delayed ? 0 : slots_of_vm(row->record.slots, row->hash, this->members);
+        row->slot_share = static_cast<std::uint32_t>(slots);
         if (!row->accepts_requests()) continue;
         own_slots += row->slot_share;
     }
@@ -214,7 +217,8 @@
     }
     group.slot_owners.clear();
     const bool members_known = !this->members.local_vms.empty();
-    if (own_slots >= sufficient_slots || group.traits.engine || !members_known) return;
+    // A VM has few slots of each engine, and may run out of them while others have some.
+    if ((own_slots >= sufficient_slots && !group.traits.engine) || !members_known) return;
     std::set<std::uint32_t> owners;
     for (const server_entry* row : group.rows) {
         if (!row->accepts_requests()) continue;
@@ -261,16 +265,8 @@
     if (!group.rejections_limited) return true;
     if (now < row.rejection_pause_until) return false;
     if (group.rejections_at(row, now) >= max_rejections) return false;
-    if (group.traits.engine) return true; // see has_safe_slot
+    if (row.full_load && row.load() >= *row.full_load) return false;
     return row.occupied_slots(now) < row.slot_share;
 }
 
-/** Whether an engine whose rejections are limited has a slot for one more request. */
-bool server_table::has_safe_slot(const service_state& group, const server_entry& row)
-{
-    const std::uint32_t slots =
-        std::min(row.record.slots, row.full_load.value_or(row.record.slots));
-    return row.load() + 1 + load_margin_deviations * load_deviation(group.sum) <= slots;
-}
-
 } // namespace worksshift
--- a/test/support/limited_fleet.cpp
+++ b/test/support/limited_fleet.cpp
@@ -269,7 +269,7 @@
         this->end(item, false);
         return;
     }
-    if (!relayed && !this->options.engines && this->relay(id)) return;
+    if (!relayed && this->relay(id)) return;
     if (server_entry* row = this->choose(item)) {
         this->send(id, *row);
         return;
