Test of an engine with a queue: the VM knows its fleet, as in the tests beside it

Slots of engines are divided since, so a VM that was told nothing of its fleet uses none, and the second half of the test saw no request.

--- a/test/error/servers_with_rejection_limits.cpp
+++ b/test/error/servers_with_rejection_limits.cpp
@@ -161,6 +161,7 @@
                 then::keep};
         });
         this->ask("GET", "/safe/nested/x");
+        this->divide_slots();
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->count_arrivals(3, "POST", "/once/x"));
         this->server->answer = [](const std::string& request) {
             return scripted_response{
