--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -803,6 +803,8 @@
                {"step", step},
                {"detail", detail},
                {"content", to_text(request.content)},
+               {"parts", to_text(std::span(request.metadata.prompt))},
+               {"begun", request.sent_at == instant{} ? 1 : 0},
                {"ran_ms", in_ms(time - request.attempt_started_at)},
                {"relay", request.relayed_by == 0 ? std::string() : to_text(request.relayed_by)},
                {"server",
