--- a/test/correctness/requests_that_crash_servers.cpp
+++ b/test/correctness/requests_that_crash_servers.cpp
@@ -10,9 +10,11 @@
 #include <algorithm>
 #include <memory>
 #include <set>
+#include <sstream>
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "request_content.h"
 #include "support/router_fleet.h"
 
 namespace {
@@ -38,9 +40,13 @@
     CPPUNIT_TEST(blocked_by_restarted_vms);
     CPPUNIT_TEST(concurrent_requests_are_served);
     CPPUNIT_TEST(blocked_if_not_repeatable);
+    CPPUNIT_TEST(blocked_by_a_part_of_the_prompt);
     CPPUNIT_TEST_SUITE_END();
 
+    static constexpr int ok = 200;
+
     std::unique_ptr<router_fleet> fleet;
+    std::string prompt;
     unsigned ids = 0;
     unsigned servers = 0;
     std::set<std::size_t> replaced;
@@ -87,6 +93,26 @@
         return count;
     }
 
+    /** Asks with these shared parts and a last one of its own; "bad" crashes servers. */
+    std::string ask_with_parts(std::size_t caller, const std::string& shared)
+    {
+        const std::string id = std::to_string(++this->ids);
+        std::string parts;
+        for (std::istringstream list(shared + "," + id); std::getline(list, parts, ',');)
+            this->prompt.append(this->prompt.empty() ? "" : ",").append(hex_of(parts)).append(":9");
+        std::string request =
+            request_text("POST", "/stream/x", id,
+                         (shared.find("bad") == std::string::npos ? "x" : "harmful") + id);
+        request.insert(request.find("\r\n") + 2,
+                       "X-Prompt-Prefix: " + std::exchange(this->prompt, {}) + "\r\n");
+        std::string answer = this->fleet->ask(caller % this->fleet->routers.size(), request);
+        this->replace_crashed_servers();
+        this->wait(milliseconds(250));
+        return answer;
+    }
+
+    static std::string hex_of(const std::string& name) { return to_text(hash_of(name)); }
+
     /** Sends the harmful request through one VM after the other. Returns the last response. */
     std::string ask_harmful(std::size_t times, const std::string& path = "/stream/x")
     {
@@ -177,6 +203,26 @@
             CPPUNIT_ASSERT_EQUAL(200, status_in(this->ask(router, "/stream/x", "other")));
     }
 
+    /** No two of these requests are alike but for one part of their prompts. Requests that share
+     * their other parts are served. */
+    void blocked_by_a_part_of_the_prompt()
+    {
+        this->start(4);
+        for (int i = 0; i < 10; ++i)
+            this->ask_with_parts(static_cast<std::size_t>(i), "c1,bad,c2");
+        this->wait(max_propagation_time);
+        const std::size_t before = this->harmful_sends();
+        CPPUNIT_ASSERT(before >= min_crashes);
+        std::size_t served = 0;
+        for (int i = 0; i < 12; ++i) {
+            this->ask_with_parts(static_cast<std::size_t>(i), "c1,bad,c" + std::to_string(i));
+            const auto caller = static_cast<std::size_t>(i + 1);
+            if (status_in(this->ask_with_parts(caller, "c1,c2")) == ok) ++served;
+        }
+        CPPUNIT_ASSERT(this->harmful_sends() <= before + max_late_sends);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{12}, served);
+    }
+
     /** A request that may not be repeated crashes one server each time its caller sends it. */
     void blocked_if_not_repeatable()
     {
