--- a/src/fleet_rounds.cpp
+++ b/src/fleet_rounds.cpp
@@ -101,6 +101,8 @@
 outgoing_digest fleet_rounds::make_member_list(fleet_digest digest, instant now)
 {
     outgoing_digest message;
+    // While a whole fleet starts, no VM knows all members yet, and the lists would only take bytes.
+    if (digest.joining) return message;
     for (auto& [address, vm] : this->table.vms()) {
         if (message.to.size() >= max_full_replies) break;
         const bool same_centre = vm.data_centre == this->table.self().data_centre;
