Parts of prompts under which servers crash are blocked, whatever else the request holds

Callers saw model servers crash one after the other for as long as requests with one part in their prompts came. The key of a suspect was the whole content, so requests with only that part in common never met; the contents blocked were those of bystanders. Class: a failure that its own repeats spread, as the state that would stop it is kept by the wrong key.

Now the shared parts of a prompt are suspects beside the content, by service. A crash speaks against the parts of requests that had no event yet; a part with which any server begins to respond is cleared, as no server gets that far with a harmful one. A part is blocked 0.8 s after its third crash (2.5 s if this VM remembers a response to it), which gives VMs that see such responses time to say so, and a VM that had one objects to another's block. Parts under which the same servers crashed block a request only together, until one of them is seen without the others. Requests that wait at a server when their part is blocked are cancelled; those with a part under which two servers crashed are not sent to another one. Trials come after 10 minutes, then 20, 40 and 60: three requests in all may reach a server while such requests come.

--- a/src/crash_suspects.cpp
+++ b/src/crash_suspects.cpp
@@ -27,11 +27,19 @@
         std::clamp<std::int64_t>(span / blocked_age_unit, 0, max_age));
 }
 
-duration pause_before_trial(std::uint8_t trials)
+duration pause_before_trial(content_key content, std::uint8_t trials)
 {
     constexpr unsigned max_doublings = 8;
     const auto factor = 1U << std::min<unsigned>(trials, max_doublings);
-    return std::min<duration>(initial_trial_delay * factor, max_trial_delay);
+    return is_part(content)
+               ? std::min<duration>(initial_part_trial_delay * factor, max_part_trial_delay)
+               : std::min<duration>(initial_trial_delay * factor, max_trial_delay);
+}
+
+/** What a key stands for, in log lines. */
+std::string_view kind_of(content_key content)
+{
+    return is_part(content) ? "part" : "content";
 }
 
 } // namespace
@@ -64,14 +72,46 @@
     if (added) this->block_suspects(now);
 }
 
+bool crash_suspects::suspicious(content_key content) const
+{
+    return this->crashes_with_unchecked(content) >= crashes_until_urgent;
+}
+
+void crash_suspects::on_refused(content_key content, instant now)
+{
+    const auto found = this->suspects.find(content);
+    if (found != this->suspects.end()) found->second.refused_at = now;
+}
+
+void crash_suspects::remember_answer(content_key part, instant now)
+{
+    if (this->answered_parts.size() >= max_answered_parts) {
+        std::erase_if(this->answered_parts,
+                      [now](const auto& entry) { return now - entry.second > objection_time; });
+    }
+    if (this->answered_parts.size() >= max_answered_parts) this->answered_parts.clear();
+    this->answered_parts[part] = now;
+}
+
+/** Whether a server began to respond to a request with the part not long before \p at, or later. */
+bool crash_suspects::answered_around(content_key part, instant at) const
+{
+    const auto found = this->answered_parts.find(part);
+    return found != this->answered_parts.end() && found->second >= at - objection_time;
+}
+
 void crash_suspects::on_answered(content_key content, instant now)
 {
+    if (is_part(content)) this->remember_answer(content, now);
     const auto found = this->suspects.find(content);
     if (found == this->suspects.end()) return;
     suspect& state = found->second;
     if (state.is_blocked) {
         log_event(log_level::info, "request_cleared",
-                  {{"content", to_text(content)}, {"ends", state.crashes.size()}});
+                  {{"content", to_text(content)},
+                   {"kind", kind_of(content)},
+                   {"ends", state.crashes.size()},
+                   {"cause", "a server responded"}});
         this->urgent = true;
     }
     // Other VMs need to know only if they have blocked it or may be about to.
@@ -108,10 +148,11 @@
     if (this->suspects.empty() && this->unchecked_attempts.empty()) return std::nullopt;
     const auto found = this->suspects.find(content);
     if (found == this->suspects.end() || !found->second.is_blocked) {
-        const bool enough = this->crashes_with_unchecked(content) >= crashes_until_blocked;
+        const bool enough =
+            !is_part(content) && this->crashes_with_unchecked(content) >= crashes_until_blocked;
         return enough ? std::optional(block_state{}) : std::nullopt;
     }
-    const duration pause = pause_before_trial(found->second.trials);
+    const duration pause = pause_before_trial(content, found->second.trials);
     const duration left = found->second.changed + pause - now;
     if (left > duration::zero()) return block_state{left, false};
     // If this VM does not make the trials, its caller waits further: the VM that does may get no
@@ -119,6 +160,59 @@
     return block_state{pause / 2, true};
 }
 
+/** Whether \p parts include all blocked parts that explain the crashes of \p part as well. True if
+ * no crashes are known here, as another VM reported the block. */
+bool crash_suspects::includes_ties(content_key part, std::span<const content_key> parts) const
+{
+    const std::set<server_incarnation>& crashes = this->suspects.at(part).crashes;
+    if (crashes.empty()) return true;
+    return std::ranges::all_of(this->suspects, [&](const auto& entry) {
+        const auto& [other, state] = entry;
+        const bool tied =
+            state.is_blocked && is_part(other) && std::ranges::includes(state.crashes, crashes);
+        return !tied || std::ranges::find(parts, other) != parts.end();
+    });
+}
+
+std::optional<std::pair<content_key, block_state>>
+crash_suspects::blocked_part(std::span<const content_key> parts, instant now) const
+{
+    for (const content_key part : parts) {
+        const std::optional<block_state> found = this->blocked(part, now);
+        if (found && this->includes_ties(part, parts)) return std::pair(part, *found);
+    }
+    return std::nullopt;
+}
+
+/** Clears the blocked parts whose crashes all belong to another one with further crashes. Waits
+ * until the reports of these have arrived for all parts. */
+void crash_suspects::clear_explained_parts(instant now)
+{
+    const auto is_settled = [now](const auto& entry) {
+        const auto& [content, state] = entry;
+        return state.is_blocked && is_part(content) &&
+               now - state.changed >= part_confirmation_time;
+    };
+    for (auto& entry : this->suspects) {
+        auto& [content, state] = entry;
+        if (!is_settled(entry) || state.crashes.empty()) continue;
+        const bool explained = std::ranges::any_of(this->suspects, [&](const auto& other) {
+            const std::set<server_incarnation>& crashes = other.second.crashes;
+            return is_settled(other) && crashes.size() > state.crashes.size() &&
+                   std::ranges::includes(crashes, state.crashes);
+        });
+        if (!explained) continue;
+        log_event(log_level::info, "request_cleared",
+                  {{"content", to_text(content)},
+                   {"kind", kind_of(content)},
+                   {"ends", state.crashes.size()},
+                   {"cause", "another part explains them"}});
+        state.cleared = true;
+        this->urgent = true;
+        this->clear(state, now);
+    }
+}
+
 void crash_suspects::begin_trial(content_key content, instant now)
 {
     suspect& state = this->suspects[content];
@@ -134,13 +228,18 @@
 bool crash_suspects::add_report(const crash_report& report, instant now)
 {
     const server_incarnation server{report.server};
-    if (std::ranges::find(this->explained_crashes, server) != this->explained_crashes.end())
+    // A crash may be explained by several blocked parts.
+    const auto known = this->suspects.find(key_of(report));
+    const bool is_blocked = known != this->suspects.end() && known->second.is_blocked;
+    if (!is_blocked &&
+        std::ranges::find(this->explained_crashes, server) != this->explained_crashes.end())
         return false;
     if (!this->suspects.contains(key_of(report))) this->evict_oldest();
     suspect& found = this->suspects[key_of(report)];
     if (found.answered_crashes.contains(server) || !found.crashes.insert(server).second)
         return false;
     found.changed = now;
+    if (found.crashes.size() == crashes_until_blocked) found.suspected_at = now;
     if (found.is_blocked) this->mark_explained({server});
     if (found.crashes.size() >= crashes_until_urgent) this->urgent = true;
     return true;
@@ -162,8 +261,17 @@
                                       static_cast<std::ptrdiff_t>(surplus));
 }
 
+bool crash_suspects::is_confirmed(content_key content, const suspect& found, instant now) const
+{
+    if (!is_part(content)) return true;
+    const duration required = this->answered_parts.contains(content) ? known_part_confirmation_time
+                                                                     : part_confirmation_time;
+    return now - found.suspected_at >= required;
+}
+
 /** Blocks the contents with the most crashes, which explains these crashes. Repeats with the
- * crashes that remain until no content reaches `crashes_until_blocked`. */
+ * crashes that remain until no content reaches `crashes_until_blocked`. Waits while a part that may
+ * explain the most crashes is not confirmed yet. */
 void crash_suspects::block_suspects(instant now)
 {
     for (;;) {
@@ -172,6 +280,12 @@
             if (!state.is_blocked) max_crashes = std::max(max_crashes, state.crashes.size());
         }
         if (max_crashes < crashes_until_blocked) return;
+        const bool all_confirmed = std::ranges::all_of(this->suspects, [&](const auto& entry) {
+            const auto& [content, state] = entry;
+            return state.is_blocked || state.crashes.size() != max_crashes ||
+                   this->is_confirmed(content, state, now);
+        });
+        if (!all_confirmed) return;
         std::set<server_incarnation> crashes;
         for (auto& [content, state] : this->suspects) {
             if (state.is_blocked || state.crashes.size() != max_crashes) continue;
@@ -188,8 +302,12 @@
     found.cleared = false;
     found.changed = now;
     this->urgent = true;
+    this->newly_blocked = true;
     log_event(log_level::warn, "request_blocked",
-              {{"content", to_text(content)}, {"ends", found.crashes.size()}, {"source", "here"}});
+              {{"content", to_text(content)},
+               {"kind", kind_of(content)},
+               {"ends", found.crashes.size()},
+               {"source", "here"}});
 }
 
 void crash_suspects::evict_oldest()
@@ -209,6 +327,9 @@
     if (!known && received.cleared) return false;
     if (!known) this->evict_oldest();
     suspect& found = this->suspects[content];
+    if (!received.cleared && !found.is_blocked && is_part(content) &&
+        this->answered_around(content, since))
+        return this->object_to_block(content, found, now);
     const bool same_state = received.cleared ? found.cleared : found.is_blocked;
     if ((same_state && found.trials == received.trials) || since <= found.changed) return false;
     const bool was_blocked = found.is_blocked;
@@ -222,8 +343,10 @@
     }
     found.changed = since;
     if (found.is_blocked == was_blocked) return true;
+    if (found.is_blocked) this->newly_blocked = true;
     log_event(log_level::info, received.cleared ? "request_cleared" : "request_blocked",
               {{"content", to_text(content)},
+               {"kind", kind_of(content)},
                {"ends", found.crashes.size()},
                {"trials", int{received.trials}},
                {"age_ms", (now - since) / milliseconds(1)},
@@ -231,6 +354,19 @@
     return true;
 }
 
+/** Another VM blocked a part with which a server began to respond to this VM. Tells the others.
+ * Returns whether that is new. */
+bool crash_suspects::object_to_block(content_key part, suspect& found, instant now)
+{
+    this->clear(found, now);
+    if (std::exchange(found.cleared, true)) return false;
+    log_event(log_level::info, "request_cleared",
+              {{"content", to_text(part)},
+               {"kind", kind_of(part)},
+               {"cause", "a server responded before another VM blocked it"}});
+    return true;
+}
+
 bool crash_suspects::handle_digest(const fleet_digest& received, bool local, instant now)
 {
     bool added = false;
@@ -281,7 +417,10 @@
         digest.blocked.push_back({static_cast<std::uint64_t>(content), state.trials, state.cleared,
                                   to_age(now - state.changed)});
     }
-    std::ranges::sort(digest.blocked, {}, &blocked_content::age);
+    // A blocked part stands for any number of requests.
+    std::ranges::sort(digest.blocked, {}, [](const blocked_content& entry) {
+        return std::pair(entry.cleared || !is_part(content_key{entry.content}), entry.age);
+    });
     digest.blocked.resize(std::min(digest.blocked.size(), max_blocked_contents));
 }
 
@@ -296,8 +435,15 @@
         return now - attempt.broken_at > check_timeout;
     });
     std::erase_if(this->suspects, [now](const auto& entry) {
-        return now - entry.second.changed > suspect_retention;
+        return now - std::max(entry.second.changed, entry.second.refused_at) > suspect_retention;
+    });
+    const bool may_block = std::ranges::any_of(this->suspects, [this, now](const auto& entry) {
+        const suspect& state = entry.second;
+        return !state.is_blocked && state.crashes.size() >= crashes_until_blocked &&
+               this->is_confirmed(entry.first, state, now);
     });
+    if (may_block) this->block_suspects(now);
+    this->clear_explained_parts(now);
 }
 
 std::size_t crash_suspects::blocked_contents() const
--- a/src/crash_suspects.h
+++ b/src/crash_suspects.h
@@ -8,6 +8,12 @@
  * response since, is blocked. These crashes are then explained, and no longer count against the
  * other contents that were in flight there. One VM retries a blocked content after a long pause, so
  * that a content blocked by coincidence is released. The caller passes in the time.
+ *
+ * A part of a prompt may crash every server that begins to respond to a request with it, whatever
+ * else the request contains. So the shared parts of a prompt are suspects, too: those of
+ * requests to which a server had not begun to respond when it crashed. A part with which any server
+ * begins to respond is cleared. Before a part is blocked, the VMs that received such a
+ * response get time to report it.
  */
 #pragma once
 
@@ -15,6 +21,8 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -31,6 +39,18 @@
  * `max_trial_delay`. Each trial may crash a server and lose all requests in flight there. */
 constexpr duration initial_trial_delay = seconds(60);
 constexpr duration max_trial_delay = seconds(600);
+/** The same for a part of a prompt: while requests with it arrive, hardly any trial may be made. */
+constexpr duration initial_part_trial_delay = seconds(600);
+constexpr duration max_part_trial_delay = seconds(3600);
+/** A part is blocked this long after its third crash, unless a response to a request with it is
+ * reported; later if this VM remembers an earlier response. */
+constexpr duration part_confirmation_time = milliseconds(800);
+constexpr duration known_part_confirmation_time = milliseconds(2500);
+/** A VM objects to the block of a part with which a server began to respond this long before it or
+ * later. */
+constexpr duration objection_time = milliseconds(1500);
+/** Maximum number of parts whose last response is remembered. */
+constexpr std::size_t max_answered_parts = 8192;
 /** A suspect is dropped after this time without a change of its state. */
 constexpr duration suspect_retention = seconds(1800);
 /** Maximum number of suspects; the one unchanged for longest is evicted, unblocked ones first. */
@@ -65,11 +85,22 @@
     /** Result of the check of a server whose attempts broke off. \p exited: its process no longer
      * runs. */
     void on_checked(server_incarnation server, bool exited, instant now);
-    /** A server responded to a request with the content, which clears it. */
+    /** A server responded to a request with the content, or began to respond to one with the part,
+     * which clears it. */
     void on_answered(content_key content, instant now);
+    /** Whether servers crashed under the content or part, so that a request with it should not be
+     * sent to another server for now. */
+    [[nodiscard]] bool suspicious(content_key content) const;
+    /** A request was refused because the content or part is blocked. */
+    void on_refused(content_key content, instant now);
 
     /** std::nullopt if the content may be sent. */
     [[nodiscard]] std::optional<block_state> blocked(content_key content, instant now) const;
+    /** The part that blocks a request with these parts, and its state; std::nullopt if it may be
+     * sent. Parts under which the same servers crashed block it only together, as any of them may
+     * be the cause. */
+    [[nodiscard]] std::optional<std::pair<content_key, block_state>>
+    blocked_part(std::span<const content_key> parts, instant now) const;
     /** Records that the blocked content is sent once. The trial counts as unsuccessful until a
      * server responds. */
     void begin_trial(content_key content, instant now);
@@ -84,6 +115,8 @@
     /** Drops expired entries. */
     void expire(instant now);
 
+    /** Whether a content or part was blocked since the last call. */
+    bool take_newly_blocked() { return std::exchange(this->newly_blocked, false); }
     /** Whether there was an update since the last call that other VMs should get soon. */
     bool take_urgent() { return std::exchange(this->urgent, false); }
     [[nodiscard]] std::size_t blocked_contents() const;
@@ -94,6 +127,8 @@
         std::set<server_incarnation> crashes;          ///< crashes that count against it
         std::set<server_incarnation> answered_crashes; ///< crashes from before a response to it
         instant changed{}; ///< last time a crash was added, or it was blocked, retried or cleared
+        instant suspected_at{}; ///< when the number of crashes reached the limit
+        instant refused_at{};   ///< last request that was refused because of it
         bool is_blocked = false;
         bool cleared = false;    ///< a server responded to it while it was blocked or close to that
         std::uint8_t trials = 0; ///< unsuccessful trials since it was blocked
@@ -110,6 +145,12 @@
 
     bool add_report(const crash_report& report, instant now);
     void block_suspects(instant now);
+    [[nodiscard]] bool includes_ties(content_key part, std::span<const content_key> parts) const;
+    void clear_explained_parts(instant now);
+    [[nodiscard]] bool is_confirmed(content_key content, const suspect& found, instant now) const;
+    void remember_answer(content_key part, instant now);
+    [[nodiscard]] bool answered_around(content_key part, instant at) const;
+    bool object_to_block(content_key part, suspect& found, instant now);
     void block_content(content_key content, suspect& found, instant now);
     void mark_explained(const std::set<server_incarnation>& crashes);
     void clear(suspect& found, instant now);
@@ -125,7 +166,9 @@
     std::vector<server_incarnation> explained_crashes;
     std::vector<pending_report> for_local_vms;
     std::vector<pending_report> for_remote_vms;
+    std::unordered_map<content_key, instant> answered_parts; ///< time of the last response
     bool urgent = false;
+    bool newly_blocked = false;
 };
 
 } // namespace worksshift
--- a/src/live_request.h
+++ b/src/live_request.h
@@ -35,6 +35,7 @@
     bool demand_counted = false; ///< it counts for this VM's demand, as it is sent from here
     std::uint64_t affinity = 0;  ///< hash of the shared part of the prompt; 0: none
     content_key content{};
+    std::vector<content_key> parts; ///< of its prompt, those that other requests may share
     instant arrived_at{};
     instant deadline{};
 
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -157,6 +157,7 @@
     const auto traits = request.config->services.find(request.service);
     request.engine = traits != request.config->services.end() && traits->second.engine;
     request.affinity = affinity_of(request.metadata.prompt);
+    request.parts = part_keys_of(request.service, request.metadata.prompt);
     request.content =
         content_of(request.matched_route->host, request.head.target, request.account, request.body);
     duration span = request.matched_route->timeout;
@@ -175,24 +176,71 @@
     return true;
 }
 
-/** Whether the request's content is blocked because servers crashed while processing it. Sending it
- * would crash another server and lose all other requests there, so the caller is answered at once.
- */
+/** Whether the request's content, or a part of its prompt, is blocked because servers crashed while
+ * processing it. Sending it would crash another server and lose all other requests there, so the
+ * caller is answered at once. */
 bool request_path::is_blocked(live_request& request)
 {
     const instant time = now();
-    const std::optional<block_state> found = this->suspect_contents.blocked(request.content, time);
-    if (!found) return false;
-    if (found->trial_due && this->is_trial_vm(request.content)) {
-        this->suspect_contents.begin_trial(request.content, time);
+    if (const auto found = this->suspect_contents.blocked(request.content, time))
+        return this->refuse_blocked(request, request.content, *found);
+    if (const auto found = this->suspect_contents.blocked_part(request.parts, time))
+        return this->refuse_blocked(request, found->first, found->second);
+    return false;
+}
+
+/** Refuses the request unless it is due as a trial. Returns whether it was refused. */
+bool request_path::refuse_blocked(live_request& request, content_key key, const block_state& state)
+{
+    const instant time = now();
+    if (state.trial_due && this->is_trial_vm(key)) {
+        this->suspect_contents.begin_trial(key, time);
         return false;
     }
+    this->suspect_contents.on_refused(key, time);
     this->telemetry.count("worksshift_blocked_total");
-    request.retry_after_hint = found->until_trial;
-    this->fail(request, "blocked", "servers ended under it");
+    request.retry_after_hint = state.until_trial;
+    this->fail(request, "blocked", "servers ended under it, key " + to_text(key));
     return true;
 }
 
+/** Ends the attempts of requests whose content, or a part of whose prompt, has just been blocked,
+ * unless their servers have begun to respond. */
+void request_path::cancel_blocked(instant time)
+{
+    const auto is_waiting = [&](const live_request& request) {
+        const bool in_progress = request.row != nullptr || request.relay_vm;
+        return in_progress && !request.ended && request.sent_at != instant{};
+    };
+    const auto is_blocked = [&](const live_request& request) {
+        return this->suspect_contents.blocked(request.content, time) ||
+               this->suspect_contents.blocked_part(request.parts, time);
+    };
+    std::vector<live_request*> found;
+    for (const auto& [id, request] : this->requests) {
+        if (is_waiting(*request) && is_blocked(*request)) found.push_back(request.get());
+    }
+    for (live_request* request : found) {
+        ++request->runs;
+        this->cancel_relay(*request, relay_result::unknown);
+        if (request->row != nullptr) {
+            request->row->health.on_neutral();
+            this->servers.cancel(request->attempt);
+            this->table.on_given_up(*request->row, request->deadline, time);
+            this->release(*request);
+        }
+        this->fail(*request, "blocked", "servers ended under it");
+    }
+}
+
+/** A server has begun to respond, which a part that crashes servers does not let it do. */
+void request_path::note_begun(live_request& request, instant time)
+{
+    request.sent_at = {};
+    for (const content_key part : request.parts)
+        this->suspect_contents.on_answered(part, time);
+}
+
 void request_path::dispatch(live_request& request)
 {
     if (this->is_blocked(request) || this->refuse_relayed(request) || this->relay(request)) return;
@@ -403,9 +451,12 @@
     }
     const std::string_view events = request.events.filter(bytes);
     if (events.empty()) return;
-    if (request.row != nullptr && request.sent_at != instant{}) {
-        request.row->first_delay.add(request.last_byte_at - request.sent_at, request.last_byte_at);
-        request.sent_at = {};
+    if (request.sent_at != instant{}) {
+        if (request.row != nullptr) {
+            request.row->first_delay.add(request.last_byte_at - request.sent_at,
+                                         request.last_byte_at);
+        }
+        this->note_begun(request, request.last_byte_at);
     }
     if (request.response_begun) {
         this->callers.add_response_data(request.id, events);
@@ -451,6 +502,10 @@
                           !request.events.has_partial_event();
     if (!complete) {
         row.health.on_failure(time);
+        if (end.peer_closed && this->is_suspect(request)) {
+            this->fail(request, end.step, end.detail);
+            return;
+        }
         this->retry_or_fail(request, true, end.step, end.detail);
         return;
     }
@@ -487,19 +542,34 @@
 
 /** Updates crash suspicion for the request's content. A server that closed the connection early may
  * have crashed or only lost the response, so a connection check is started. */
-void request_path::record_broken_attempt(const live_request& request, const server_record& server,
+void request_path::record_broken_attempt(live_request& request, const server_record& server,
                                          const attempt_outcome& end, instant time)
 {
     if (end.result == send_progress::answered) {
         this->suspect_contents.on_answered(request.content, time);
+        if (request.sent_at != instant{}) this->note_begun(request, time);
         return;
     }
     if (!end.peer_closed) return;
     const server_incarnation incarnation = incarnation_of(server);
     this->suspect_contents.on_attempt_broken(request.content, incarnation, time);
+    if (request.sent_at != instant{}) {
+        for (const content_key part : request.parts)
+            this->suspect_contents.on_attempt_broken(part, incarnation, time);
+    }
     this->servers.check_process(static_cast<std::uint32_t>(incarnation), server.id, server.address);
 }
 
+/** Whether servers crashed before they began to respond to requests with a part of this one's
+ * prompt, so that the next server would probably crash, too. */
+bool request_path::is_suspect(const live_request& request) const
+{
+    return request.sent_at != instant{} &&
+           std::ranges::any_of(request.parts, [this](content_key part) {
+               return this->suspect_contents.suspicious(part);
+           });
+}
+
 /** Result of a connection check. If nothing listens at the server's address any more, the server
  * has exited and is marked unreachable at once. */
 void request_path::on_server_checked(server_incarnation incarnation, check_result result)
@@ -775,6 +845,7 @@
         this->requests.erase(id);
     this->finished.clear();
     this->check_reach(time);
+    if (this->suspect_contents.take_newly_blocked()) this->cancel_blocked(time);
     this->origins.tick(time);
     // A response can admit the next request on its connection, so `requests` may change during the
     // loop.
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -115,7 +115,11 @@
     [[nodiscard]] static placement_request placement_of(const live_request& request);
     [[nodiscard]] bool has_alternative(const live_request& request, instant now);
     [[nodiscard]] bool is_blocked(live_request& request);
-    void record_broken_attempt(const live_request& request, const server_record& server,
+    bool refuse_blocked(live_request& request, content_key key, const block_state& state);
+    void cancel_blocked(instant time);
+    void note_begun(live_request& request, instant time);
+    [[nodiscard]] bool is_suspect(const live_request& request) const;
+    void record_broken_attempt(live_request& request, const server_record& server,
                                const attempt_outcome& end, instant time);
     void on_server_checked(server_incarnation server, check_result result);
     void refuse(live_request& request, const retry_later& refusal);
--- a/test/fuzz/crash_reports_reach_every_vm.cpp
+++ b/test/fuzz/crash_reports_reach_every_vm.cpp
@@ -99,6 +99,63 @@
     std::mt19937 random;
 };
 
+constexpr content_key harmful_part{part_bit | 0xbad};
+constexpr std::size_t common_parts = 20;
+
+/** Callers' requests with parts of prompts in common, of which one crashes servers. */
+class part_fleet : public suspect_fleet {
+public:
+    using suspect_fleet::suspect_fleet;
+
+    /** For \p span, sound requests arrive at each VM, and harmful ones at \p per_s in all. Each
+     * harmful request shares a part with sound ones, and crashes its server beside a sound request
+     * that the server has not begun to respond to. */
+    void ask_parts(double per_s, duration span)
+    {
+        constexpr duration step = milliseconds(50);
+        for (const instant end = this->fleet.now + span; this->fleet.now < end;) {
+            this->fleet.run(step);
+            for (auto& [vm, item] : this->fleet.vms) {
+                this->known[vm].expire(this->fleet.now);
+                this->ask_sound(vm);
+            }
+            const double expected = per_s * std::chrono::duration<double>(step).count();
+            const int count = std::poisson_distribution<>(expected)(this->random);
+            for (int i = 0; i < count; ++i) {
+                const std::size_t vm = this->random() % this->fleet.vms.size();
+                const std::array parts{first_part, this->any_part(), harmful_part,
+                                       this->any_part()};
+                if (this->known[vm].blocked_part(parts, this->fleet.now)) continue;
+                ++this->sends;
+                this->fail_server(
+                    vm, std::array{first_part, this->any_part(), harmful_part, this->any_part()});
+            }
+        }
+    }
+
+    [[nodiscard]] content_key any_part()
+    {
+        return content_key{part_bit | (1 + this->random() % common_parts)};
+    }
+
+    static constexpr content_key first_part{part_bit | 0xf};
+    std::size_t sound = 0;
+    std::size_t sound_refused = 0;
+
+private:
+    void ask_sound(std::size_t vm)
+    {
+        const content_key part = this->any_part();
+        ++this->sound;
+        if (this->known[vm].blocked_part(std::array{first_part, part}, this->fleet.now)) {
+            ++this->sound_refused;
+            return;
+        }
+        this->known[vm].on_answered(first_part, this->fleet.now);
+        this->known[vm].on_answered(part, this->fleet.now);
+    }
+};
+
 class crash_reports_reach_every_vm : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(crash_reports_reach_every_vm);
     CPPUNIT_TEST(all_fleet_sizes);
@@ -110,6 +167,10 @@
     CPPUNIT_TEST(response_clears_a_content);
     CPPUNIT_TEST(one_vm_makes_trials);
     CPPUNIT_TEST(many_crashes_stay_bounded);
+    CPPUNIT_TEST(part_is_blocked_by_every_vm);
+    CPPUNIT_TEST(other_parts_are_served);
+    CPPUNIT_TEST(crashes_of_many_servers_block_no_part);
+    CPPUNIT_TEST(response_elsewhere_clears_a_part);
     CPPUNIT_TEST(random_digests);
     CPPUNIT_TEST_SUITE_END();
 
@@ -269,6 +330,67 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{7}, fleet.blocked_at(harmful));
     }
 
+    /** Requests that share only one part are refused by every VM, and hardly any is sent after the
+     * reports have arrived, for as long as they come. */
+    static void part_is_blocked_by_every_vm()
+    {
+        for (const std::size_t vms : {7, 65}) {
+            part_fleet fleet(vms, vms < 12 ? 3 : 6);
+            while (fleet.sends < 5)
+                fleet.ask_parts(3, milliseconds(100));
+            fleet.ask_parts(3, max_propagation_time);
+            const std::size_t before = fleet.sends;
+            fleet.ask_parts(3, seconds(vms < 12 ? 120 : 10));
+            CPPUNIT_ASSERT(fleet.sends <= before + max_late_sends);
+            CPPUNIT_ASSERT_EQUAL(vms, fleet.blocked_at(harmful_part));
+        }
+    }
+
+    /** Guards against refusing requests that share the other parts of the harmful ones. */
+    static void other_parts_are_served()
+    {
+        for (const std::size_t vms : {7, 65}) {
+            part_fleet fleet(vms, vms < 12 ? 3 : 6);
+            fleet.ask_parts(4, seconds(10));
+            CPPUNIT_ASSERT(fleet.sound_refused * 50 <= fleet.sound);
+            fleet.sound_refused = 0;
+            fleet.ask_parts(4, seconds(5));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.sound_refused);
+        }
+    }
+
+    /** Servers that crash for other reasons, many at once and one after the other, block no part.
+     */
+    static void crashes_of_many_servers_block_no_part()
+    {
+        part_fleet fleet(7, 3);
+        fleet.ask_parts(0, seconds(3));
+        for (int round = 0; round < 10; ++round) {
+            for (std::size_t server = 0; server < 6; ++server) {
+                const std::array parts{part_fleet::first_part, fleet.any_part()};
+                fleet.fail_server(server % 7, parts);
+            }
+            fleet.ask_parts(0, milliseconds(500));
+        }
+        fleet.ask_parts(0, seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.known[0].blocked_contents());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.sound_refused);
+    }
+
+    /** Guards against a block by VMs that do not see the responses which another VM receives. */
+    static void response_elsewhere_clears_a_part()
+    {
+        part_fleet fleet(7, 3);
+        constexpr content_key rare{part_bit | 0x77};
+        for (std::size_t i = 0; i < 8; ++i) {
+            fleet.fail_server(i % 3, {&rare, 1});
+            fleet.fleet.run(milliseconds(200));
+            fleet.known[6].on_answered(rare, fleet.fleet.now);
+        }
+        fleet.fleet.run(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.blocked_at(rare));
+    }
+
     /** Digests with random contents neither exceed the bounds nor block an unrelated content. */
     static void random_digests()
     {
