--- a/src/server_table_rejections.cpp
+++ b/src/server_table_rejections.cpp
@@ -156,13 +156,14 @@
     constexpr std::int64_t max_age = std::numeric_limits<std::uint8_t>::max();
     constexpr std::uint32_t max_limit = std::numeric_limits<std::uint16_t>::max();
     std::vector<service_limit> limits;
-    for (const auto& [service, group] : this->services) {
-        const std::optional<duration> age = group.limit.statement_age(now);
+    for (const auto& entry : this->services) {
+        const rejection_limit& limit = entry.second.limit;
+        const std::optional<duration> age = limit.statement_age(now);
         if (!age) continue;
-        limits.push_back({short_hash(service),
-                          static_cast<std::uint16_t>(std::min(group.limit.per_s(), max_limit)),
-                          static_cast<std::uint8_t>(
-                              std::min<std::int64_t>(*age / limit_age_unit + 1, max_age))});
+        const auto units = std::min<std::int64_t>(*age / limit_age_unit + 1, max_age);
+        limits.push_back({short_hash(entry.first),
+                          static_cast<std::uint16_t>(std::min(limit.per_s(), max_limit)),
+                          static_cast<std::uint8_t>(units)});
     }
     std::ranges::sort(limits, {}, &service_limit::age);
     limits.resize(std::min(limits.size(), max_service_limits));
@@ -175,9 +176,9 @@
         return short_hash(entry.first) == reported.service;
     });
     if (found == this->services.end()) return;
-    auto& [service, group] = *found;
+    service_state& group = found->second;
     group.limit.on_reported(reported.per_s, received_at - reported.age * limit_age_unit, now);
-    this->update_rejections_limited(service, group, now);
+    this->update_rejections_limited(found->first, group, now);
 }
 
 void server_table::update_rejection_limits(const fleet_members& members, std::size_t reporting_vms,
--- a/test/correctness/rejection_limits_hold_while_vms_change.cpp
+++ b/test/correctness/rejection_limits_hold_while_vms_change.cpp
@@ -4,7 +4,7 @@
  * while they know less of the fleet: the servers crash one after the other, and the load moves to
  * the rest.
  */
-#include <array>
+#include <algorithm>
 #include <functional>
 #include <future>
 #include <vector>
@@ -107,14 +107,13 @@
 std::vector<simulated_run> run_all(const std::vector<limited_fleet_options>& fleets,
                                    const pattern& events)
 {
-    std::vector<std::future<simulated_run>> started;
-    for (const limited_fleet_options& options : fleets) {
-        started.push_back(
-            std::async(std::launch::async, [&] { return run_once(options, events); }));
-    }
-    std::vector<simulated_run> results;
-    for (auto& run : started)
-        results.push_back(run.get());
+    std::vector<std::future<simulated_run>> started(fleets.size());
+    std::ranges::transform(fleets, started.begin(), [&](const limited_fleet_options& options) {
+        return std::async(std::launch::async, [&] { return run_once(options, events); });
+    });
+    std::vector<simulated_run> results(started.size());
+    std::ranges::transform(started, results.begin(),
+                           [](std::future<simulated_run>& run) { return run.get(); });
     return results;
 }
 
--- a/test/correctness/requests_that_crash_servers.cpp
+++ b/test/correctness/requests_that_crash_servers.cpp
@@ -10,7 +10,7 @@
 #include <algorithm>
 #include <memory>
 #include <set>
-#include <sstream>
+#include <vector>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -46,7 +46,6 @@
     static constexpr int ok = 200;
 
     std::unique_ptr<router_fleet> fleet;
-    std::string prompt;
     unsigned ids = 0;
     unsigned servers = 0;
     std::set<std::size_t> replaced;
@@ -94,25 +93,23 @@
     }
 
     /** Asks with these shared parts and a last one of its own; "bad" crashes servers. */
-    std::string ask_with_parts(std::size_t caller, const std::string& shared)
+    std::string ask_with_parts(std::size_t caller, const std::vector<std::string>& shared)
     {
         const std::string id = std::to_string(++this->ids);
-        std::string parts;
-        for (std::istringstream list(shared + "," + id); std::getline(list, parts, ',');)
-            this->prompt.append(this->prompt.empty() ? "" : ",").append(hex_of(parts)).append(":9");
+        const bool harmful = std::ranges::find(shared, "bad") != shared.end();
+        std::string prompt;
+        for (const std::string& part : shared)
+            prompt.append(to_text(hash_of(part))).append(":9,");
         std::string request =
-            request_text("POST", "/stream/x", id,
-                         (shared.find("bad") == std::string::npos ? "x" : "harmful") + id);
-        request.insert(request.find("\r\n") + 2,
-                       "X-Prompt-Prefix: " + std::exchange(this->prompt, {}) + "\r\n");
+            request_text("POST", "/stream/x", id, (harmful ? "harmful" : "x") + id);
+        const std::string header = "X-Prompt-Prefix: " + prompt + to_text(hash_of(id)) + ":9\r\n";
+        request.insert(request.find("\r\n") + 2, header);
         std::string answer = this->fleet->ask(caller % this->fleet->routers.size(), request);
         this->replace_crashed_servers();
         this->wait(milliseconds(250));
         return answer;
     }
 
-    static std::string hex_of(const std::string& name) { return to_text(hash_of(name)); }
-
     /** Sends the harmful request through one VM after the other. Returns the last response. */
     std::string ask_harmful(std::size_t times, const std::string& path = "/stream/x")
     {
@@ -208,16 +205,15 @@
     void blocked_by_a_part_of_the_prompt()
     {
         this->start(4);
-        for (int i = 0; i < 10; ++i)
-            this->ask_with_parts(static_cast<std::size_t>(i), "c1,bad,c2");
+        for (std::size_t i = 0; i < 10; ++i)
+            this->ask_with_parts(i, {"c1", "bad", "c2"});
         this->wait(max_propagation_time);
         const std::size_t before = this->harmful_sends();
         CPPUNIT_ASSERT(before >= min_crashes);
         std::size_t served = 0;
-        for (int i = 0; i < 12; ++i) {
-            this->ask_with_parts(static_cast<std::size_t>(i), "c1,bad,c" + std::to_string(i));
-            const auto caller = static_cast<std::size_t>(i + 1);
-            if (status_in(this->ask_with_parts(caller, "c1,c2")) == ok) ++served;
+        for (std::size_t i = 0; i < 12; ++i) {
+            this->ask_with_parts(i, {"c1", "bad", "c" + std::to_string(i)});
+            if (status_in(this->ask_with_parts(i + 1, {"c1", "c2"})) == ok) ++served;
         }
         CPPUNIT_ASSERT(this->harmful_sends() <= before + max_late_sends);
         CPPUNIT_ASSERT_EQUAL(std::size_t{12}, served);
