A part with which a server began to respond lately is neither blocked nor held against another send

A VM that had not seen a response for some seconds could accept a block of a sound part while many servers crash, and held its crashes against requests that might go to another server. Responses are now remembered for 30 s; only a status 200 counts as the beginning of one, as a 504 may come from a queue. A part that is sound by what this VM knows no longer delays the block of others.

--- a/src/crash_suspects.cpp
+++ b/src/crash_suspects.cpp
@@ -72,9 +72,10 @@
     if (added) this->block_suspects(now);
 }
 
-bool crash_suspects::suspicious(content_key content) const
+bool crash_suspects::suspicious(content_key content, instant now) const
 {
-    return this->crashes_with_unchecked(content) >= crashes_until_urgent;
+    return !this->answered_recently(content, now) &&
+           this->crashes_with_unchecked(content) >= crashes_until_urgent;
 }
 
 void crash_suspects::on_refused(content_key content, instant now)
@@ -86,18 +87,19 @@
 void crash_suspects::remember_answer(content_key part, instant now)
 {
     if (this->answered_parts.size() >= max_answered_parts) {
-        std::erase_if(this->answered_parts,
-                      [now](const auto& entry) { return now - entry.second > objection_time; });
+        std::erase_if(this->answered_parts, [now](const auto& entry) {
+            return now - entry.second > answered_part_lifetime;
+        });
     }
     if (this->answered_parts.size() >= max_answered_parts) this->answered_parts.clear();
     this->answered_parts[part] = now;
 }
 
-/** Whether a server began to respond to a request with the part not long before \p at, or later. */
-bool crash_suspects::answered_around(content_key part, instant at) const
+/** Whether a server recently began to respond to a request of this VM with the part. */
+bool crash_suspects::answered_recently(content_key part, instant now) const
 {
     const auto found = this->answered_parts.find(part);
-    return found != this->answered_parts.end() && found->second >= at - objection_time;
+    return found != this->answered_parts.end() && now - found->second <= answered_part_lifetime;
 }
 
 void crash_suspects::on_answered(content_key content, instant now)
@@ -261,12 +263,16 @@
                                       static_cast<std::ptrdiff_t>(surplus));
 }
 
-bool crash_suspects::is_confirmed(content_key content, const suspect& found, instant now) const
+/** Whether the suspect may be blocked once there are enough crashes. */
+bool crash_suspects::is_candidate(content_key content, const suspect& found, instant now) const
+{
+    return !found.is_blocked && !this->answered_recently(content, now);
+}
+
+/** Whether responses to requests with the part would have been reported by now. */
+bool crash_suspects::is_confirmed(content_key content, const suspect& found, instant now)
 {
-    if (!is_part(content)) return true;
-    const duration required = this->answered_parts.contains(content) ? known_part_confirmation_time
-                                                                     : part_confirmation_time;
-    return now - found.suspected_at >= required;
+    return !is_part(content) || now - found.suspected_at >= part_confirmation_time;
 }
 
 /** Blocks the contents with the most crashes, which explains these crashes. Repeats with the
@@ -277,20 +283,23 @@
     for (;;) {
         std::size_t max_crashes = 0;
         for (const auto& [content, state] : this->suspects) {
-            if (!state.is_blocked) max_crashes = std::max(max_crashes, state.crashes.size());
+            if (this->is_candidate(content, state, now))
+                max_crashes = std::max(max_crashes, state.crashes.size());
         }
         if (max_crashes < crashes_until_blocked) return;
-        const bool all_confirmed = std::ranges::all_of(this->suspects, [&](const auto& entry) {
+        const auto has_most = [&](const auto& entry) {
             const auto& [content, state] = entry;
-            return state.is_blocked || state.crashes.size() != max_crashes ||
-                   this->is_confirmed(content, state, now);
+            return state.crashes.size() == max_crashes && this->is_candidate(content, state, now);
+        };
+        const bool all_confirmed = std::ranges::all_of(this->suspects, [&](const auto& entry) {
+            return !has_most(entry) || is_confirmed(entry.first, entry.second, now);
         });
         if (!all_confirmed) return;
         std::set<server_incarnation> crashes;
-        for (auto& [content, state] : this->suspects) {
-            if (state.is_blocked || state.crashes.size() != max_crashes) continue;
-            this->block_content(content, state, now);
-            crashes.insert(state.crashes.begin(), state.crashes.end());
+        for (auto& entry : this->suspects) {
+            if (!has_most(entry)) continue;
+            this->block_content(entry.first, entry.second, now);
+            crashes.insert(entry.second.crashes.begin(), entry.second.crashes.end());
         }
         this->mark_explained(crashes);
     }
@@ -328,7 +337,7 @@
     if (!known) this->evict_oldest();
     suspect& found = this->suspects[content];
     if (!received.cleared && !found.is_blocked && is_part(content) &&
-        this->answered_around(content, since))
+        this->answered_recently(content, now))
         return this->object_to_block(content, found, now);
     const bool same_state = received.cleared ? found.cleared : found.is_blocked;
     if ((same_state && found.trials == received.trials) || since <= found.changed) return false;
@@ -438,9 +447,9 @@
         return now - std::max(entry.second.changed, entry.second.refused_at) > suspect_retention;
     });
     const bool may_block = std::ranges::any_of(this->suspects, [this, now](const auto& entry) {
-        const suspect& state = entry.second;
-        return !state.is_blocked && state.crashes.size() >= crashes_until_blocked &&
-               this->is_confirmed(entry.first, state, now);
+        const auto& [content, state] = entry;
+        return state.crashes.size() >= crashes_until_blocked &&
+               this->is_candidate(content, state, now) && is_confirmed(content, state, now);
     });
     if (may_block) this->block_suspects(now);
     this->clear_explained_parts(now);
--- a/src/crash_suspects.h
+++ b/src/crash_suspects.h
@@ -43,12 +43,11 @@
 constexpr duration initial_part_trial_delay = seconds(600);
 constexpr duration max_part_trial_delay = seconds(3600);
 /** A part is blocked this long after its third crash, unless a response to a request with it is
- * reported; later if this VM remembers an earlier response. */
+ * reported. */
 constexpr duration part_confirmation_time = milliseconds(800);
-constexpr duration known_part_confirmation_time = milliseconds(2500);
-/** A VM objects to the block of a part with which a server began to respond this long before it or
- * later. */
-constexpr duration objection_time = milliseconds(1500);
+/** A VM neither blocks a part with which a server began to respond to it within this time, nor
+ * accepts that another VM does. */
+constexpr duration answered_part_lifetime = seconds(30);
 /** Maximum number of parts whose last response is remembered. */
 constexpr std::size_t max_answered_parts = 8192;
 /** A suspect is dropped after this time without a change of its state. */
@@ -90,7 +89,7 @@
     void on_answered(content_key content, instant now);
     /** Whether servers crashed under the content or part, so that a request with it should not be
      * sent to another server for now. */
-    [[nodiscard]] bool suspicious(content_key content) const;
+    [[nodiscard]] bool suspicious(content_key content, instant now) const;
     /** A request was refused because the content or part is blocked. */
     void on_refused(content_key content, instant now);
 
@@ -147,9 +146,10 @@
     void block_suspects(instant now);
     [[nodiscard]] bool includes_ties(content_key part, std::span<const content_key> parts) const;
     void clear_explained_parts(instant now);
-    [[nodiscard]] bool is_confirmed(content_key content, const suspect& found, instant now) const;
+    [[nodiscard]] bool is_candidate(content_key content, const suspect& found, instant now) const;
+    [[nodiscard]] static bool is_confirmed(content_key content, const suspect& found, instant now);
     void remember_answer(content_key part, instant now);
-    [[nodiscard]] bool answered_around(content_key part, instant at) const;
+    [[nodiscard]] bool answered_recently(content_key part, instant now) const;
     bool object_to_block(content_key part, suspect& found, instant now);
     void block_content(content_key content, suspect& found, instant now);
     void mark_explained(const std::set<server_incarnation>& crashes);
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -502,7 +502,7 @@
                           !request.events.has_partial_event();
     if (!complete) {
         row.health.on_failure(time);
-        if (end.peer_closed && this->is_suspect(request)) {
+        if (end.peer_closed && this->is_suspect(request, time)) {
             this->fail(request, end.step, end.detail);
             return;
         }
@@ -547,7 +547,8 @@
 {
     if (end.result == send_progress::answered) {
         this->suspect_contents.on_answered(request.content, time);
-        if (request.sent_at != instant{}) this->note_begun(request, time);
+        const bool begun = request.response_head.status == ok && request.sent_at != instant{};
+        if (begun) this->note_begun(request, time);
         return;
     }
     if (!end.peer_closed) return;
@@ -562,11 +563,11 @@
 
 /** Whether servers crashed before they began to respond to requests with a part of this one's
  * prompt, so that the next server would probably crash, too. */
-bool request_path::is_suspect(const live_request& request) const
+bool request_path::is_suspect(const live_request& request, instant time) const
 {
     return request.sent_at != instant{} &&
-           std::ranges::any_of(request.parts, [this](content_key part) {
-               return this->suspect_contents.suspicious(part);
+           std::ranges::any_of(request.parts, [this, time](content_key part) {
+               return this->suspect_contents.suspicious(part, time);
            });
 }
 
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -118,7 +118,7 @@
     bool refuse_blocked(live_request& request, content_key key, const block_state& state);
     void cancel_blocked(instant time);
     void note_begun(live_request& request, instant time);
-    [[nodiscard]] bool is_suspect(const live_request& request) const;
+    [[nodiscard]] bool is_suspect(const live_request& request, instant time) const;
     void record_broken_attempt(live_request& request, const server_record& server,
                                const attempt_outcome& end, instant time);
     void on_server_checked(server_incarnation server, check_result result);
