Other VMs with slots of engines: all of the data centre; the time of a changed share is kept

Every VM of a data centre has slots of some engines, so computing the owners of each engine's slots every 100 ms gave the same list at a cost that grows with engines times VMs. The comparison that dates a change of the share read the member in the same expression that replaces it, whose order is unspecified.

--- a/src/fleet_table.cpp
+++ b/src/fleet_table.cpp
@@ -248,7 +248,8 @@
 
 void fleet_table::update_share(instant now)
 {
-    if (std::exchange(this->share, this->next_share(now)) != this->share) this->share_since = now;
+    const share_state next = this->next_share(now);
+    if (std::exchange(this->share, next) != next) this->share_since = now;
 }
 
 fleet_members fleet_table::members(instant now) const
--- a/src/server_table_rejections.cpp
+++ b/src/server_table_rejections.cpp
@@ -217,9 +217,14 @@
                    {"share", name_of(this->members.share)}});
     }
     group.slot_owners.clear();
-    const bool members_known = !this->members.local_vms.empty();
-    // A VM has few slots of each engine, and may run out of them while others have some.
-    if ((own_slots >= sufficient_slots && !group.traits.engine) || !members_known) return;
+    if (this->members.local_vms.empty()) return;
+    if (group.traits.engine) {
+        // Each VM has slots of some engines, and may run out of them while others have some.
+        group.slot_owners = this->members.local_vms;
+        std::erase(group.slot_owners, this->members.self);
+        return;
+    }
+    if (own_slots >= sufficient_slots) return;
     std::set<std::uint32_t> owners;
     for (const server_entry* row : group.rows) {
         if (!row->accepts_requests()) continue;
