Requests whose callers have disconnected before they were read are dropped

A process that is suspended or starved reads a request together with the end of its connection. It sent the request to a server first and noticed the end afterwards, so that a request that may not be repeated ran for a caller that had given it up.

Before a complete request is passed on, the connection is checked for the end of its input.

--- a/src/caller_connections.cpp
+++ b/src/caller_connections.cpp
@@ -40,6 +40,14 @@
     return std::chrono::steady_clock::now();
 }
 
+/** Whether the peer has closed the connection and all its bytes have been read. */
+bool at_end_of_input(evutil_socket_t socket)
+{
+    char next = 0;
+    const ssize_t size = ::recv(socket, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno == ECONNRESET);
+}
+
 } // namespace
 
 struct caller_connections::connection_state {
@@ -223,6 +231,14 @@
 
 void caller_connections::deliver_request(connection_state& connection)
 {
+    // A process that was suspended or starved reads a request together with the end of its
+    // connection, possibly seconds after the caller left.
+    if (at_end_of_input(bufferevent_getfd(connection.socket.get()))) {
+        log_event(log_level::info, "request_dropped",
+                  {{"step", "read"}, {"reason", "the caller has disconnected"}});
+        this->drop(connection);
+        return;
+    }
     connection.current_stage = connection_state::stage::responding;
     connection.since = now();
     connection.keep_alive = connection.head.keep_alive;
