--- a/src/admit_attempts.cpp
+++ b/src/admit_attempts.cpp
@@ -40,7 +40,6 @@
     }
     server.load.accepting = !server.config.draining && gate.circuit_breaker.allows(now) &&
                             !t.leaving && version_for(t, gate, {}).available;
-    server.load_at = now;
 }
 
 std::uint32_t shared_limit(const gate_row& gate, const server_config& server)
--- a/src/tables.h
+++ b/src/tables.h
@@ -142,7 +142,6 @@
     service_id service;
     std::vector<vm_id> gates; ///< the highest ranked VMs that are not dead, in rank order
     load_summary load;
-    instant load_at{};
 };
 
 /** A service, with data precomputed for placement. */
