--- a/src/router_settings.cpp
+++ b/src/router_settings.cpp
@@ -134,7 +134,9 @@
         double value = 0;
         const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
         const bool complete = fault == std::errc{} && end == text.data() + text.size();
-        if (!complete || value < low || value > high) {
+        // Written so that "nan", for which all comparisons are false, is refused.
+        const bool in_range = value >= low && value <= high;
+        if (!complete || !in_range) {
             std::ostringstream message;
             message << name << '=' << text << " is not a number from " << low << " to " << high;
             throw user_error("settings", "", message.str());
