Slow readers and endless responses: bounds on buffered output, attempts without progress are closed

Data for a client that does not read was buffered without bound, in the process and in the system's socket buffers. A server that sent informational heads, comments, empty events or a partial event without end kept its attempt until the deadline, and the body of a rejected request was buffered without bound.

Attempts whose bytes make no progress are closed, counted as failures and sent again if the route allows. A paused server is not taken for silent or unresponsive.

--- a/src/caller_connections.cpp
+++ b/src/caller_connections.cpp
@@ -29,6 +29,12 @@
 constexpr milliseconds caller_unacknowledged_timeout(10000);
 /** Maximum number of bytes buffered of pipelined requests while a response is in progress. */
 constexpr std::size_t max_read_ahead_bytes = std::size_t{64} * 1024;
+/** A pause of this length is logged. */
+constexpr duration long_pause = seconds(1);
+/** Bytes that the system buffers for a client beyond those it may have in flight. The system's own
+ * buffer grows to several MB, which 2,000 slow clients would fill unseen, and bytes in it say
+ * nothing of whether the client reads. */
+constexpr int system_unsent_bytes = 16 * 1024;
 constexpr int bad_request = 400;
 constexpr int request_timeout = 408;
 constexpr int content_too_large = 413;
@@ -67,6 +73,9 @@
     bool keep_alive = true;
     bool chunked = false;  ///< the response is sent in chunks
     bool finished = false; ///< the response is written to the buffer, but not yet sent in full
+    client_output output;
+    bool has_read = false;          ///< the client accepted bytes since the last sweep
+    bool long_pause_logged = false; ///< of this response
     instant since{}; ///< start of the stage, arrival of the head's first byte, or end of the head
 };
 
@@ -147,7 +156,16 @@
     connection->since = now();
     set_no_delay(socket);
     set_unacknowledged_timeout(socket, caller_unacknowledged_timeout);
+    set_unsent_limit(socket, system_unsent_bytes);
+    connection->output.from_vm = from_vm;
     connection->socket.reset(bufferevent_socket_new(this->base, socket, BEV_OPT_CLOSE_ON_FREE));
+    evbuffer_add_cb(
+        bufferevent_get_output(connection->socket.get()),
+        [](evbuffer*, const evbuffer_cb_info* change, void* context) {
+            auto* self = static_cast<connection_state*>(context);
+            self->owner->track_output(*self, *change);
+        },
+        connection);
     connection->reader.on_head = [this, connection](http_head& head) {
         this->handle_head(*connection, head);
     };
@@ -162,7 +180,12 @@
         },
         [](bufferevent*, void* context) {
             auto* self = static_cast<connection_state*>(context);
-            if (self->finished) self->owner->end_response(*self);
+            const bool sent = evbuffer_get_length(bufferevent_get_output(self->socket.get())) == 0;
+            if (self->finished && sent) {
+                self->owner->end_response(*self);
+            } else if (self->output.paused) {
+                self->owner->check_output(*self, now());
+            }
         },
         [](bufferevent*, short events, void* context) {
             auto* self = static_cast<connection_state*>(context);
@@ -227,6 +250,7 @@
     connection.since = now();
     connection.keep_alive = connection.head.keep_alive;
     connection.chunked = false;
+    connection.long_pause_logged = false;
     connection.request = this->next_request++;
     this->in_progress[connection.request] = &connection;
     this->on_request.emit({connection.request, std::move(connection.head),
@@ -337,6 +361,11 @@
     if (connection == nullptr) return;
     if (!piece.empty()) write_chunk(bufferevent_get_output(connection->socket.get()), piece);
     flush_output(connection->socket.get());
+    if (connection->output.buffered == 0 && !connection->output.paused) return;
+    this->check_output(*connection, now());
+    // The piece may come from a new attempt, which is not paused yet.
+    if (connection->output.paused) this->on_output_full.emit(request);
+    this->enforce_total(now());
 }
 
 void caller_connections::finish_response(std::uint64_t request)
@@ -347,14 +376,21 @@
     if (connection->chunked) write_final_chunk(out);
     this->in_progress.erase(request);
     connection->finished = true;
+    this->set_paused(*connection, false, {});
+    connection->output.complete = true;
     flush_output(connection->socket.get());
-    if (evbuffer_get_length(out) == 0) this->end_response(*connection);
+    if (evbuffer_get_length(out) == 0) {
+        this->end_response(*connection);
+    } else {
+        this->enforce_total(now());
+    }
 }
 
 /** Called when the response has been sent: reads the next request or closes the connection. */
 void caller_connections::end_response(connection_state& connection)
 {
     connection.finished = false;
+    connection.output.complete = false;
     connection.request = 0;
     connection.since = now();
     if (!connection.keep_alive) {
@@ -380,6 +416,10 @@
     if (connection.current_stage == connection_state::stage::closed) return;
     connection.current_stage = connection_state::stage::closed;
     const std::uint64_t request = std::exchange(connection.request, 0);
+    this->set_paused(connection, false, {});
+    this->output.bytes -= connection.output.buffered;
+    if (connection.output.buffered > 0) --this->output.clients;
+    connection.output.buffered = 0;
     bufferevent_disable(connection.socket.get(), EV_READ | EV_WRITE);
     this->dropped.push_back(connection.id);
     if (request != 0 && this->in_progress.erase(request) > 0) this->on_disconnect.emit(request);
@@ -407,6 +447,107 @@
     }
 }
 
+/** Updates the counts of buffered bytes after a change of a client's output buffer. */
+void caller_connections::track_output(connection_state& connection, const evbuffer_cb_info& change)
+{
+    if (connection.current_stage == connection_state::stage::closed) return;
+    const std::size_t before = connection.output.buffered;
+    connection.output.buffered = change.orig_size + change.n_added - change.n_deleted;
+    this->output.bytes += connection.output.buffered - before;
+    if (before == 0 && connection.output.buffered > 0) ++this->output.clients;
+    if (before > 0 && connection.output.buffered == 0) --this->output.clients;
+    connection.has_read = connection.has_read || before == 0 || change.n_deleted > 0;
+}
+
+void caller_connections::set_paused(connection_state& connection, bool paused_now, instant time)
+{
+    if (connection.output.paused == paused_now) return;
+    connection.output.paused = paused_now;
+    connection.output.paused_since = time;
+    this->paused += paused_now ? 1 : -1;
+    // While the response is paused, the write callback is called at each step below half of the
+    // bound, otherwise when the buffer is empty.
+    const std::size_t low = paused_now ? this->output_rules.client_bound(this->output) / 2 : 0;
+    bufferevent_setwatermark(connection.socket.get(), EV_WRITE, low, 0);
+}
+
+/** Pauses or resumes a response, or closes a connection whose client does not read. */
+void caller_connections::check_output(connection_state& connection, instant time)
+{
+    const bool responding = connection.current_stage == connection_state::stage::responding;
+    if (!responding) return;
+    switch (this->output_rules.decide(connection.output, this->output, time)) {
+    case output_action::none:
+        return;
+    case output_action::pause:
+        this->set_paused(connection, true, time);
+        this->on_output_full.emit(connection.request);
+        return;
+    case output_action::resume:
+        this->set_paused(connection, false, time);
+        this->on_output_drained.emit(connection.request);
+        return;
+    case output_action::close:
+        this->close_slow_client(connection, slow_client_reason::unread, time);
+        return;
+    }
+}
+
+/** Closes the connection so that the client can tell that the response is incomplete. */
+void caller_connections::close_slow_client(connection_state& connection, slow_client_reason reason,
+                                           instant time)
+{
+    ++this->slow_closed[static_cast<std::size_t>(reason)];
+    // By a reset, since the system would keep the bytes that it has buffered until they time out.
+    const linger at_once{1, 0};
+    setsockopt(bufferevent_getfd(connection.socket.get()), SOL_SOCKET, SO_LINGER, &at_once,
+               sizeof at_once);
+    if (this->in_progress.contains(connection.request)) {
+        const client_output state = connection.output;
+        this->on_slow_client.emit(connection.request, state, reason);
+    } else {
+        log_event(log_level::info, "slow_client_closed",
+                  {{"request", ""},
+                   {"reason", name_of(reason)},
+                   {"complete", 1},
+                   {"buffered", connection.output.buffered},
+                   {"total", this->output.bytes},
+                   {"unread_ms", (time - connection.output.read_at) / milliseconds(1)}});
+    }
+    this->drop(connection);
+}
+
+void caller_connections::check_slow_clients(instant time)
+{
+    if (this->output.clients == 0) return;
+    for (const auto& [id, connection] : this->connections) {
+        if (std::exchange(connection->has_read, false)) connection->output.read_at = time;
+        if (connection->output.buffered == 0) continue;
+        const bool paused_long =
+            connection->output.paused && time - connection->output.paused_since >= long_pause;
+        if (paused_long && !std::exchange(connection->long_pause_logged, true))
+            this->on_long_pause.emit(connection->request, connection->output);
+        this->check_output(*connection, time);
+    }
+}
+
+/** Closes connections while the total bound is exceeded. Called as data is added, since many
+ * responses may begin between two sweeps. */
+void caller_connections::enforce_total(instant time)
+{
+    if (!this->output_rules.exceeded(this->output)) return;
+    std::vector<connection_state*> waiting;
+    std::vector<client_output> states;
+    for (const auto& [id, connection] : this->connections) {
+        if (std::exchange(connection->has_read, false)) connection->output.read_at = time;
+        if (connection->output.buffered == 0) continue;
+        waiting.push_back(connection.get());
+        states.push_back(connection->output);
+    }
+    for (const std::size_t index : this->output_rules.choose_to_close(states, this->output))
+        this->close_slow_client(*waiting[index], slow_client_reason::memory, time);
+}
+
 void caller_connections::sweep(instant time)
 {
     for (const std::uint64_t id : this->dropped)
@@ -419,6 +560,7 @@
     }
     for (const auto& [id, connection] : this->connections)
         this->check_timeouts(*connection, time);
+    this->check_slow_clients(time);
 }
 
 void caller_connections::stop_listening()
--- a/src/caller_connections.h
+++ b/src/caller_connections.h
@@ -8,6 +8,7 @@
  */
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -19,6 +20,7 @@
 #include <sigc++/sigc++.h>
 
 #include "http_wire.h"
+#include "output_limits.h"
 #include "protocol.h"
 
 namespace worksshift {
@@ -68,8 +70,25 @@
      * incomplete. */
     void abort_response(std::uint64_t request);
 
-    /** Closes connections that were idle for too long, rejects requests that arrive too slowly, and
-     * frees closed connections. */
+    void set_output_bounds(const output_bounds& bounds)
+    {
+        this->output_rules = output_limits(bounds);
+    }
+    /** Response data that clients have not accepted yet. */
+    [[nodiscard]] const output_total& buffered_output() const { return this->output; }
+    /** Bytes that one client may have buffered at present. */
+    [[nodiscard]] std::size_t client_bound() const
+    {
+        return this->output_rules.client_bound(this->output);
+    }
+    [[nodiscard]] std::size_t paused_responses() const { return this->paused; }
+    [[nodiscard]] std::uint64_t slow_clients_closed(slow_client_reason reason) const
+    {
+        return this->slow_closed[static_cast<std::size_t>(reason)];
+    }
+
+    /** Closes connections that were idle for too long, rejects requests that arrive too slowly,
+     * closes those of clients that do not read their responses, and frees closed connections. */
     void sweep(instant now);
     /** From now on, each connection is closed after its response. */
     void start_closing() { this->closing = true; }
@@ -81,6 +100,13 @@
     sigc::signal<void(caller_request)> on_request;
     /** The caller disconnected before its response was complete. */
     sigc::signal<void(std::uint64_t)> on_disconnect;
+    /** The response's server is not to be read until `on_output_drained`. May be repeated. */
+    sigc::signal<void(std::uint64_t)> on_output_full;
+    sigc::signal<void(std::uint64_t)> on_output_drained;
+    /** A response has been paused for a second for the first time. */
+    sigc::signal<void(std::uint64_t, const client_output&)> on_long_pause;
+    /** The response has to be aborted, as its client does not read. */
+    sigc::signal<void(std::uint64_t, const client_output&, slow_client_reason)> on_slow_client;
 
 private:
     struct connection_state;
@@ -101,6 +127,12 @@
     void end_response(connection_state& connection);
     void drop(connection_state& connection);
     void check_timeouts(connection_state& connection, instant now);
+    void track_output(connection_state& connection, const evbuffer_cb_info& change);
+    void check_output(connection_state& connection, instant now);
+    void set_paused(connection_state& connection, bool paused, instant now);
+    void close_slow_client(connection_state& connection, slow_client_reason reason, instant now);
+    void check_slow_clients(instant now);
+    void enforce_total(instant now);
     [[nodiscard]] connection_state* find(std::uint64_t request);
     std::string write_head(const connection_state& connection, const http_head& head,
                            std::optional<std::size_t> length) const;
@@ -118,6 +150,10 @@
     std::uint64_t next_request = 1;
     bool closing = false;
     bool accepting_paused = false; ///< accepting is suspended until the next sweep
+    output_limits output_rules;
+    output_total output;
+    std::size_t paused = 0;                     ///< responses
+    std::array<std::uint64_t, 2> slow_closed{}; ///< by `slow_client_reason`
 };
 
 } // namespace worksshift
--- a/src/event_loop.h
+++ b/src/event_loop.h
@@ -73,6 +73,9 @@
  * unreachable. By default, the system would keep the connection for about 15 minutes. */
 void set_unacknowledged_timeout(evutil_socket_t socket, milliseconds span);
 
+/** Limits the bytes that the system accepts beyond those that may be in flight to the peer. */
+void set_unsent_limit(evutil_socket_t socket, int bytes);
+
 /** Closes an idle connection when the peer is unreachable: the system sends a keepalive probe after
  * 1 s without traffic, and gives up 2 s after the last byte received. */
 void enable_keepalive(evutil_socket_t socket);
--- a/src/event_stream.cpp
+++ b/src/event_stream.cpp
@@ -25,6 +25,20 @@
     return std::nullopt;
 }
 
+/** Whether a line of the event has data that is not blank. */
+bool has_data(std::string_view event)
+{
+    constexpr std::string_view data_field = "data:";
+    while (!event.empty()) {
+        std::string_view line = event.substr(0, event.find('\n'));
+        event.remove_prefix(std::min(line.size() + 1, event.size()));
+        if (!line.starts_with(data_field)) continue;
+        line.remove_prefix(data_field.size());
+        if (line.find_first_not_of(" \t\r") != std::string_view::npos) return true;
+    }
+    return false;
+}
+
 } // namespace
 
 bool event_stream::is_new(std::string_view event)
@@ -33,15 +47,19 @@
     if (id && this->last_event_id && *id <= *this->last_event_id) return false;
     if (id) this->last_event_id = id;
     ++this->event_count;
+    if (has_data(event)) ++this->data_event_count;
     return true;
 }
 
 std::string_view event_stream::filter(std::string_view bytes)
 {
     this->new_events.clear();
+    // The end of an event may begin with the last byte before. Earlier ones are not searched again,
+    // so that the cost of a long event does not grow with the square of its length.
+    const std::size_t searched = this->partial.empty() ? 0 : this->partial.size() - 1;
     this->partial.append(bytes);
     std::string_view rest = this->partial;
-    for (std::size_t end = rest.find(event_end); end != std::string_view::npos;
+    for (std::size_t end = rest.find(event_end, searched); end != std::string_view::npos;
          end = rest.find(event_end)) {
         const std::string_view event = rest.substr(0, end + event_end.size());
         if (this->is_new(event)) this->new_events.append(event);
--- a/src/event_stream.h
+++ b/src/event_stream.h
@@ -28,6 +28,8 @@
     [[nodiscard]] std::optional<std::uint64_t> last_id() const { return this->last_event_id; }
     /** Number of forwarded events. */
     [[nodiscard]] std::uint64_t events() const { return this->event_count; }
+    /** Number of forwarded events that have data. The others are comments or empty. */
+    [[nodiscard]] std::uint64_t data_events() const { return this->data_event_count; }
     /** Sets the id after which the caller asked to resume. */
     void set_last_event_id(std::optional<std::uint64_t> id) { this->last_event_id = id; }
 
@@ -38,6 +40,7 @@
     std::string new_events;
     std::optional<std::uint64_t> last_event_id;
     std::uint64_t event_count = 0;
+    std::uint64_t data_event_count = 0;
 };
 
 } // namespace worksshift
--- a/src/http_wire.cpp
+++ b/src/http_wire.cpp
@@ -170,7 +170,10 @@
         const bool interim = result == read_result::message_complete &&
                              this->reader_side == message_kind::responses &&
                              this->head.status / informational == 1;
+        // Otherwise, a server could send informational responses without end.
+        this->interim_bytes = interim ? this->interim_bytes + this->head_bytes + consumed : 0;
         if (result == read_result::message_complete) this->reset();
+        if (this->interim_bytes > this->max_head_bytes) return read_result::head_too_large;
         if (!interim) return result;
     }
     return read_result::need_more;
--- a/src/http_wire.h
+++ b/src/http_wire.h
@@ -66,7 +66,7 @@
     [[nodiscard]] bool idle() const { return !this->started; }
     /** The current message's head was read in full. */
     [[nodiscard]] bool head_complete() const { return this->head_read; }
-    /** Sets the maximum size of a head. */
+    /** Sets the maximum size of a head, and of all informational responses before one. */
     void set_max_head_bytes(std::size_t bytes) { this->max_head_bytes = bytes; }
 
 private:
@@ -81,7 +81,8 @@
     http_parser parser{};
     http_head head;
     std::size_t head_bytes = 0;
-    bool last_was_value = false; ///< the last header callback was for a value
+    std::size_t interim_bytes = 0; ///< of informational responses before the current one
+    bool last_was_value = false;   ///< the last header callback was for a value
     bool started = false;
     bool oversized = false; ///< the head exceeds the maximum size
     bool head_read = false;
--- a/src/live_request.h
+++ b/src/live_request.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "event_stream.h"
+#include "output_limits.h"
 #include "protocol.h"
 #include "request_content.h"
 #include "server_table.h"
@@ -74,7 +75,10 @@
     /** Version of the software at the server of the current attempt, when it was sent; with a
      * relayed one, what the other VM stated. */
     software_version attempt_version = software_version::unknown;
-    std::string buffered_body; ///< response body not yet forwarded
+    bool paused = false;            ///< its server is not read, as the caller reads slowly
+    bool was_paused = false;        ///< so its times do not describe the server
+    response_progress unproductive; ///< bytes of the attempt's response since its last progress
+    std::string buffered_body;      ///< response body not yet forwarded
     event_stream events;
     instant first_event_at{}; ///< when the first event was forwarded; the epoch: not yet
 
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -63,6 +63,7 @@
         [this](caller_request request) { this->on_request(std::move(request)); });
     callers.on_disconnect.connect(
         [this](std::uint64_t request_id) { this->on_caller_disconnected(request_id); });
+    this->connect_output_signals();
     servers.on_head.connect(
         [this](std::uint64_t attempt, const http_head& head, const response_metadata& metadata) {
             this->on_response_head(attempt, head, metadata);
@@ -311,6 +312,8 @@
     request.sent_at = time;
     request.last_byte_at = time;
     request.refused = false;
+    request.unproductive.reset();
+    request.was_paused = false;
     request.tried_servers.push_back(row.record.id);
     request.attempt_version = row.software;
     server_table::on_sent(row, time);
@@ -428,7 +431,7 @@
     if (request == nullptr) return;
     request->last_byte_at = now();
     request->row->last_received_at = request->last_byte_at;
-    if (!request->caller_left) this->forward_body(*request, bytes);
+    if (!request->caller_left) this->take_body(*request, bytes);
 }
 
 /** Forwards a piece of a response to the caller: whole events of a stream, and other responses once
@@ -441,8 +444,11 @@
             return;
         }
         request.buffered_body.append(bytes);
+        // Less is held back while many clients read slowly.
+        const std::size_t limit =
+            std::min(max_buffered_response_bytes, this->callers.client_bound());
         const bool begin_forwarding =
-            request.buffered_body.size() > max_buffered_response_bytes && !request.refused;
+            request.buffered_body.size() > limit && may_be_forwarded(request);
         if (!begin_forwarding) return;
         request.response_begun = true;
         this->callers.begin_response(request.id, request.response_head, request.buffered_body);
@@ -472,6 +478,7 @@
 void request_path::release(live_request& request)
 {
     if (request.row == nullptr) return;
+    if (std::exchange(request.paused, false)) --request.row->paused;
     --request.row->in_flight;
     request.row = nullptr;
     request.attempt = 0;
@@ -501,7 +508,12 @@
     const bool complete = end.result == send_progress::answered && !request.cannot_resume &&
                           !request.events.has_partial_event();
     if (!complete) {
-        row.health.on_failure(time);
+        // A server may break off a response that this VM did not read in time.
+        if (request.was_paused) {
+            row.health.on_neutral();
+        } else {
+            row.health.on_failure(time);
+        }
         if (end.peer_closed && this->is_suspect(request, time)) {
             this->fail(request, end.step, end.detail);
             return;
@@ -521,7 +533,7 @@
         }
     } else {
         row.health.on_success(time);
-        if (request.streaming && request.first_event_at != instant{})
+        if (request.streaming && request.first_event_at != instant{} && !request.was_paused)
             this->table.on_finished(row, time - request.first_event_at);
     }
     this->finish_answer(request);
@@ -532,6 +544,7 @@
                                   instant time)
 {
     if (request.caller_left || request.response_head.status == misdirected) return;
+    if (request.was_paused) return;
     // An engine that refuses a request is full, which its load already shows. Unreachability is
     // tracked by each VM separately, since it may affect only that VM.
     if (request.engine && (request.refused || end.result == send_progress::not_sent)) return;
@@ -595,8 +608,12 @@
 {
     this->cancel_relay(request, relay_result::unreachable);
     if (request.row == nullptr) return;
-    request.row->health.on_failure(time);
-    server_table::on_attempt_ended(*request.row, time - request.sent_at, true, time);
+    if (request.was_paused) {
+        request.row->health.on_neutral();
+    } else {
+        request.row->health.on_failure(time);
+        server_table::on_attempt_ended(*request.row, time - request.sent_at, true, time);
+    }
     this->servers.cancel(request.attempt);
     this->table.on_given_up(*request.row, request.deadline, time);
     this->release(request);
@@ -750,8 +767,10 @@
     live_request& request = *found->second;
     request.caller_left = true;
     if (request.matched_route != nullptr &&
-        request.matched_route->kind == route_kind::non_idempotent)
+        request.matched_route->kind == route_kind::non_idempotent) {
+        this->resume_attempt(request);
         return;
+    }
     if (request.row != nullptr) {
         request.row->health.on_neutral();
         this->servers.cancel(request.attempt);
@@ -790,6 +809,7 @@
 {
     const bool in_progress = request.row != nullptr || request.relay_vm;
     if (!in_progress || request.caller_left || !request.matched_route->repeatable()) return;
+    if (request.paused) return;
     const duration limit = this->silence_timeout(request, time);
     if (time - request.last_byte_at < limit) return;
     if (request.runs + 1 >= request.max_runs()) return;
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -147,6 +147,19 @@
     void release(live_request& request);
     void end(live_request& request, std::string_view outcome, int status);
     void on_caller_disconnected(std::uint64_t request_id);
+
+    // Slow readers and endless responses, in request_path_output.cpp.
+    void connect_output_signals();
+    live_request* find_open(std::uint64_t request_id);
+    void pause_attempt(live_request& request);
+    void resume_attempt(live_request& request);
+    void on_slow_client(live_request& request, const client_output& output,
+                        slow_client_reason reason);
+    void take_body(live_request& request, std::string_view bytes);
+    [[nodiscard]] static bool may_be_forwarded(const live_request& request);
+    void check_progress(live_request& request, instant now);
+    void abandon_endless_attempt(live_request& request, std::string_view reason, instant now);
+
     [[nodiscard]] duration silence_timeout(const live_request& request, instant now) const;
     void check_silence(live_request& request, instant now);
     void on_deadline(live_request& request);
--- a/src/request_path_relay.cpp
+++ b/src/request_path_relay.cpp
@@ -50,7 +50,7 @@
         live_request* request = this->find_attempt(attempt);
         if (request == nullptr) return;
         request->last_byte_at = now();
-        if (!request->refused && !request->caller_left) this->forward_body(*request, bytes);
+        if (!request->caller_left) this->take_body(*request, bytes);
     });
     connections.on_end.connect([this](const attempt_outcome& end) { this->on_relay_end(end); });
 }
@@ -99,6 +99,8 @@
     request.sent_at = time;
     request.last_byte_at = time;
     request.refused = false;
+    request.unproductive.reset();
+    request.was_paused = false;
     request.relay_responded = false;
     http_head head = request.head;
     remove_header(head, relay_lost_header);
@@ -233,6 +235,7 @@
     this->telemetry.count("worksshift_relayed_total{result=\"" + std::string(name_of(result)) +
                           "\"}");
     request.relayed_by = vm;
+    request.paused = false;
     request.relay_vm.reset();
     request.attempt = 0;
 }
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -481,6 +481,13 @@
     text << "worksshift_requests_active " << this->path.active() << '\n';
     text << "worksshift_attempts_active " << this->connection_pool.active() << '\n';
     text << "worksshift_caller_connections " << this->callers.open_connections() << '\n';
+    text << "worksshift_output_buffered_bytes " << this->callers.buffered_output().bytes << '\n';
+    text << "worksshift_responses_paused " << this->callers.paused_responses() << '\n';
+    for (const slow_client_reason reason :
+         {slow_client_reason::unread, slow_client_reason::memory}) {
+        text << "worksshift_slow_clients_closed_total{reason=\"" << name_of(reason) << "\"} "
+             << this->callers.slow_clients_closed(reason) << '\n';
+    }
     text << "worksshift_server_connections_opened_total " << this->connection_pool.opened() << '\n';
     text << "worksshift_config_version " << this->configuration.version() << '\n';
     text << "worksshift_registry_watched " << (this->watch_role.watching() ? 1 : 0) << '\n';
--- a/src/server_connections.cpp
+++ b/src/server_connections.cpp
@@ -248,6 +248,7 @@
         this->drop(*connection);
     } else {
         connection->since = now();
+        bufferevent_enable(connection->socket.get(), EV_READ);
         this->idle[connection->server].push_back(connection);
     }
     this->on_end.emit({attempt, send_progress::answered, "answer", {}});
@@ -290,6 +291,18 @@
     this->drop(*connection);
 }
 
+void server_connections::pause_reading(std::uint64_t attempt)
+{
+    const auto found = this->attempts.find(attempt);
+    if (found != this->attempts.end()) bufferevent_disable(found->second->socket.get(), EV_READ);
+}
+
+void server_connections::resume_reading(std::uint64_t attempt)
+{
+    const auto found = this->attempts.find(attempt);
+    if (found != this->attempts.end()) bufferevent_enable(found->second->socket.get(), EV_READ);
+}
+
 void server_connections::sweep(instant time)
 {
     this->closed.clear();
--- a/src/server_connections.h
+++ b/src/server_connections.h
@@ -87,6 +87,10 @@
     void start_attempt(const attempt_request& request);
     /** Closes the attempt's connection, so that the server stops processing. Emits no signal. */
     void cancel(std::uint64_t attempt);
+    /** Stops reading the attempt's response until `resume_reading`. Bytes that were already read
+     * are still reported. */
+    void pause_reading(std::uint64_t attempt);
+    void resume_reading(std::uint64_t attempt);
     /** Checks whether the server's process has ended, by opening a connection without sending
      * anything; an established connection goes into the pool. The result is reported by
      * `on_checked`. \p check: identifies the check in the result; does nothing if a check with this
--- a/src/server_entry.h
+++ b/src/server_entry.h
@@ -68,7 +68,9 @@
     std::uint8_t unreported_rejections = 0; ///< of this VM's requests, not yet reported to others
 
     instant last_received_at{}; ///< when the last byte of a response arrived
-    instant in_flight_since{};  ///< since then at least one attempt has been in flight
+    instant in_flight_since{};  ///< since then at least one attempt has been in flight and read
+    /** Attempts in flight that are not read, as their clients read slowly (`output_limits.h`). */
+    std::uint32_t paused = 0;
 
     /** Recent delay from sending a request to its first event; decays with time. */
     first_event_delay first_delay;
@@ -88,7 +90,7 @@
 
     [[nodiscard]] bool unresponsive(instant now) const
     {
-        return this->in_flight > 0 &&
+        return this->in_flight > this->paused &&
                now - std::max(this->last_received_at, this->in_flight_since) > unresponsive_after;
     }
     /** Requests of all VMs at the server. Uses the server's own report if it is recent: it counts
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -670,7 +670,7 @@
 
 void server_table::on_sent(server_entry& row, instant now)
 {
-    if (row.in_flight++ == 0) row.in_flight_since = now;
+    if (row.in_flight++ == row.paused) row.in_flight_since = now;
     row.health.on_sent(now);
     row.cold.on_sent(now);
     row.trial.on_sent(now);
--- a/test/support/path_rig.cpp
+++ b/test/support/path_rig.cpp
@@ -102,7 +102,12 @@
         if (!given.bytes.empty()) {
             const ssize_t sent =
                 ::send(socket, given.bytes.data(), given.bytes.size(), MSG_NOSIGNAL);
-            static_cast<void>(sent);
+            // The rest of a large response is sent as the router reads.
+            const std::size_t done = sent < 0 ? 0 : static_cast<std::size_t>(sent);
+            if (done < given.bytes.size()) {
+                bufferevent_write(item.socket.get(), given.bytes.data() + done,
+                                  given.bytes.size() - done);
+            }
         }
         if (given.after == scripted_response::then::close) ::shutdown(socket, SHUT_WR);
         if (given.after == scripted_response::then::reset) {
@@ -121,9 +126,14 @@
     bufferevent_write(this->open.back()->socket.get(), bytes.data(), bytes.size());
 }
 
-raw_caller::raw_caller(event_base* base, const link_address& to)
-    : socket(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE))
+raw_caller::raw_caller(event_base* base, const link_address& to, int receive_buffer) : base(base)
 {
+    const evutil_socket_t descriptor =
+        ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (receive_buffer > 0) {
+        setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+    }
+    this->socket.reset(bufferevent_socket_new(base, descriptor, BEV_OPT_CLOSE_ON_FREE));
     bufferevent_setcb(
         this->socket.get(),
         [](bufferevent* from, void* self) {
@@ -154,8 +164,31 @@
     bufferevent_write(this->socket.get(), bytes.data(), bytes.size());
 }
 
+void raw_caller::set_reading(bool on)
+{
+    if (on) {
+        bufferevent_enable(this->socket.get(), EV_READ);
+    } else {
+        bufferevent_disable(this->socket.get(), EV_READ);
+    }
+}
+
+void raw_caller::read_slowly(std::size_t bytes, duration period)
+{
+    this->set_reading(false);
+    this->reader = std::make_unique<timer>(this->base, [this, bytes] {
+        std::string piece(bytes, '\0');
+        const evutil_socket_t descriptor = bufferevent_getfd(this->socket.get());
+        const ssize_t got = ::recv(descriptor, piece.data(), bytes, 0);
+        if (got > 0) this->received.append(piece, 0, static_cast<std::size_t>(got));
+        if (got == 0 || (got < 0 && errno != EAGAIN)) this->closed = true;
+    });
+    this->reader->start_every(period);
+}
+
 void raw_caller::leave()
 {
+    this->reader.reset();
     this->socket.reset();
 }
 
@@ -187,10 +220,10 @@
     return *this->servers.back();
 }
 
-raw_caller& path_rig::add_caller()
+raw_caller& path_rig::add_caller(int receive_buffer)
 {
     this->raw_callers.push_back(std::make_unique<raw_caller>(
-        this->base.get(), link_address{"127.0.0.1", this->front_port}));
+        this->base.get(), link_address{"127.0.0.1", this->front_port}, receive_buffer));
     return *this->raw_callers.back();
 }
 
--- a/test/support/path_rig.h
+++ b/test/support/path_rig.h
@@ -63,7 +63,9 @@
 /** A caller's connection that sends and receives raw bytes. */
 class raw_caller {
 public:
-    raw_caller(event_base* base, const worksshift::link_address& to);
+    /** \p receive_buffer: size of the system's buffer, which bounds what the router can send while
+     * the caller does not read; 0: the system's choice. */
+    raw_caller(event_base* base, const worksshift::link_address& to, int receive_buffer = 0);
     ~raw_caller();
     raw_caller(const raw_caller&) = delete;
     raw_caller& operator=(const raw_caller&) = delete;
@@ -73,12 +75,18 @@
     void send(const std::string& bytes);
     /** Closes the connection. */
     void leave();
+    /** Stops and continues reading. */
+    void set_reading(bool on);
+    /** Reads only \p bytes every \p period from now on. */
+    void read_slowly(std::size_t bytes, worksshift::duration period);
 
     std::string received;
     bool closed = false; ///< by the router
 
 private:
+    event_base* base;
     worksshift::event_ptr<bufferevent> socket;
+    std::unique_ptr<worksshift::timer> reader;
 };
 
 /** The request path, its tables and a configuration with one route of each kind on host `h`. */
@@ -90,7 +98,7 @@
      * of its software. */
     scripted_server& add_server(const std::string& id, const std::string& service,
                                 scripted_server::script answer, const std::string& version = "v1");
-    raw_caller& add_caller();
+    raw_caller& add_caller(int receive_buffer = 0);
     [[nodiscard]] std::vector<const scripted_server*> all_servers() const;
     /** Runs the loop until \p done. Returns false if that takes more than five seconds. */
     bool run_until(const std::function<bool()>& done);
