Server selection and admission use the pace that servers state

Cause: a server shares its machine with other work and may state in the fourth figure of X-Server-Load how long work takes there now. The figure was dropped, so VMs took every slot for equally fast, found slow engines only by late first events, and ignored plain servers up to 1.5 times slower.

Each figure is passed on once in the data centre, one byte at the end of the digest. The wait for a slot, the span used by admission, the engine for a request without prompt and the weights of plain servers use the estimate; an engine above 1.75 times the median of its service is used only if no other has a slot. The load bound is unchanged. slow-pace = 0 disables all of it; without the figure nothing changes.

--- a/lab/experiment.cpp
+++ b/lab/experiment.cpp
@@ -20,6 +20,8 @@
 const service_id engines_service{"engines"};
 /** Time that one step of the simulation covers. */
 constexpr duration simulation_step = milliseconds(1);
+/** Interval at which the engines' paces change, if they do. */
+constexpr duration pace_interval = milliseconds(100);
 /** Interval at which a router marks slow servers and sums the loads, as in the product. */
 constexpr duration router_tick = milliseconds(25);
 /** One-way network delay between callers, VMs and engines. */
@@ -105,6 +107,7 @@
     void handle_first_event(caller_request& item);
     void handle_end(caller_request& item);
     void record_outcome(caller_request& item, bool served);
+    void change_paces();
     void run_router_tick();
     void exchange_digests();
     [[nodiscard]] double mean_load();
@@ -112,6 +115,7 @@
     server_entry& row(const caller_request& item);
 
     const pattern& given;
+    std::vector<double> slowdowns; ///< of each engine, by its faults
     bool sees_true_loads;
     std::mt19937_64 random;
     instant now{seconds(1000)};
@@ -148,6 +152,7 @@
 
 void simulation::make_engines()
 {
+    this->slowdowns.assign(this->given.engines, 1);
     for (std::size_t i = 0; i < this->given.engines; ++i) {
         this->engine_ids.push_back({"engine-" + std::to_string(i)});
         auto made = std::make_unique<emulated_engine>(this->given.engine);
@@ -215,7 +220,8 @@
         if (begins) item.restart();
         break;
     case engine_fault::effect::slow:
-        item.slowdown_factor = begins ? fault.times : 1;
+        this->slowdowns[engine] = begins ? fault.times : 1;
+        item.slowdown_factor = this->slowdowns[engine];
         break;
     case engine_fault::effect::leave:
         for (const auto& vm : this->vms)
@@ -388,6 +394,16 @@
     row.first_delay.add(this->now - item.sent, this->now);
     row.set_reported_load(this->engines[item.engine]->load(), this->now);
     row.reported_here = true;
+    if (!this->given.states_pace) return;
+    server_table::note_pace(row, this->engines[item.engine]->slowdown_factor, this->now);
+}
+
+void simulation::change_paces()
+{
+    const double spread = this->given.pace_spread;
+    std::lognormal_distribution<double> distribution(-spread * spread / 2, spread);
+    for (std::size_t i = 0; i < this->engines.size(); ++i)
+        this->engines[i]->slowdown_factor = this->slowdowns[i] * distribution(this->random);
 }
 
 void simulation::handle_end(caller_request& item)
@@ -444,6 +460,7 @@
         }
         vm->table.expire_reported_loads(this->now);
         vm->table.mark_slow(this->now);
+        vm->table.update_paces(this->now);
         vm->table.sum_loads(this->now);
         vm->admission_control.set_fleet_demand_multiple(static_cast<double>(this->vms.size()));
     }
@@ -471,6 +488,7 @@
     constexpr duration drain_time = seconds(15);
     instant next_tick = this->now;
     instant next_digests = this->now;
+    instant next_pace = this->now;
     for (; this->now < end + drain_time; this->now += simulation_step) {
         while (!this->events.empty() && this->events.top().at <= this->now) {
             const std::function<void()> what = this->events.top().what;
@@ -481,6 +499,10 @@
             this->run_router_tick();
             next_tick += router_tick;
         }
+        if (this->given.pace_spread > 0 && this->now >= next_pace) {
+            this->change_paces();
+            next_pace += pace_interval;
+        }
         if (this->now >= next_digests) {
             this->exchange_digests();
             next_digests += in_seconds(this->given.digest_ms / 1000);
@@ -555,6 +577,7 @@
         {"admit-all", admit_all},
         {"no-slot-limit", [](placement_policy& policy) { policy.wait_of_objective = 0; }},
         {"no-rate-limit", [](placement_policy& policy) { policy.busy_from = 0; }},
+        {"no-pace", [](placement_policy& policy) { policy.slow_pace = 0; }},
         {"no-slow", [](placement_policy& policy) { policy.slow_multiple = 0; }},
         {"no-spread", [](placement_policy& policy) { policy.load_spread = 0; }},
         {"no-hot-prompts", [](placement_policy& policy) { policy.hot_prompt_share = 0; }},
--- a/lab/pattern.cpp
+++ b/lab/pattern.cpp
@@ -185,6 +185,8 @@
     made.vms = static_cast<std::size_t>(from.number("vms", 8, 1, max_vms));
     made.engines = static_cast<std::size_t>(from.number("engines", 18, 1, max_vms));
     made.digest_ms = from.number("digest_ms", made.digest_ms, 1, max_s * 1000);
+    made.pace_spread = from.number("pace_spread", made.pace_spread, 0, 2);
+    made.states_pace = from.number("states_pace", 0, 0, 1) > 0;
     for (const toml::table* item : from.list("engine"))
         made.engine = read_engine({*item, "engine.", path});
     for (const toml::table* item : from.list("kind"))
--- a/lab/pattern.h
+++ b/lab/pattern.h
@@ -56,6 +56,10 @@
     std::size_t engines = 18;
     engine_parameters engine;
     double digest_ms = 150; ///< interval between the digests of a VM
+    /** Standard deviation of the logarithm of each engine's pace, whose mean is 1 and which changes
+     * ten times a second; 0: constant. */
+    double pace_spread = 0;
+    bool states_pace = false; ///< the engines state it with their load
     std::vector<request_kind> kinds;
     std::vector<wave> waves;
     std::vector<engine_fault> faults;
--- a/lab/plain_service.cpp
+++ b/lab/plain_service.cpp
@@ -66,6 +66,9 @@
     std::deque<double> rejected_at; ///< times of the rejections of the last second
     double down_until = 0;
     unsigned incarnation = 0;
+    double pace = 1;           ///< factor on its service times
+    double pace_drawn_at = -1; ///< time of the last change
+    std::size_t served = 0;
 };
 
 /** One VM with its view of the servers. */
@@ -83,6 +86,7 @@
 public:
     simulation(const plain_pattern& given, server_selection chooser, std::uint64_t seed);
     plain_outcome run();
+    [[nodiscard]] double busiest_share() const;
 
 private:
     using action = std::function<void()>;
@@ -114,6 +118,9 @@
     void set_members();
     void note_response(const request& item, server_entry& row, attempt_result how);
     void update_limits();
+    void update_paces();
+    double pace_of(std::size_t server);
+    void note_stated_pace(const request& item, server_entry& row);
     double draw_work_s(std::size_t server);
     [[nodiscard]] double network_delay_s(const request& item) const;
     [[nodiscard]] bool is_faulty(std::size_t server) const;
@@ -153,6 +160,7 @@
             record.data_centre.text = std::to_string(i % given.data_centres);
             record.slots = given.slots;
             this->routers.back()->table.put(record);
+            this->routers.back()->table.policy.slow_pace = given.slow_pace;
         }
     }
     this->vm_of_request = {weights.begin(), weights.end()};
@@ -187,6 +195,7 @@
     this->after(0, [this] { this->arrive(); });
     this->after(0, [this] { this->sum_loads(); });
     if (this->given.rejection_limit > 0) this->update_limits();
+    if (this->given.states_pace) this->update_paces();
     for (std::size_t vm = 0; vm < this->routers.size(); ++vm) {
         std::uniform_real_distribution<double> initial_delay(0, this->given.propagation_delay_s);
         this->after(initial_delay(this->random), [this, vm] { this->send_outcomes(vm); });
@@ -202,9 +211,66 @@
                        static_cast<std::ptrdiff_t>(this->response_times_ms.size() * 99 / 100);
     std::ranges::nth_element(this->response_times_ms, worst);
     this->result.p99_ms = *worst;
+    this->result.mean_ms =
+        std::accumulate(this->response_times_ms.begin(), this->response_times_ms.end(), 0.0) /
+        static_cast<double>(this->response_times_ms.size());
+    this->result.busiest_share = this->busiest_share();
     return this->result;
 }
 
+double simulation::busiest_share() const
+{
+    const auto speed = [this](std::size_t at) {
+        return at < this->given.slow_servers ? 1 / this->given.slow_servers_multiple : 1.0;
+    };
+    double speeds = 0;
+    double served = 0;
+    for (std::size_t at = 0; at < this->servers.size(); ++at) {
+        speeds += speed(at);
+        served += static_cast<double>(this->servers[at].served);
+    }
+    double busiest = 0;
+    for (std::size_t at = 0; at < this->servers.size(); ++at) {
+        const double fair = served * speed(at) / speeds;
+        busiest = std::max(busiest, static_cast<double>(this->servers[at].served) / fair);
+    }
+    return busiest;
+}
+
+/** Factor on the service times of a server now. */
+double simulation::pace_of(std::size_t at)
+{
+    server& item = this->servers[at];
+    constexpr double change_interval_s = 0.1;
+    const double spread = this->given.pace_spread;
+    if (spread > 0 && this->now - item.pace_drawn_at >= change_interval_s) {
+        item.pace = std::lognormal_distribution<double>(-spread * spread / 2, spread)(this->random);
+        item.pace_drawn_at = this->now;
+    }
+    const bool slow = at < this->given.slow_servers;
+    return item.pace * (slow ? this->given.slow_servers_multiple : 1);
+}
+
+void simulation::update_paces()
+{
+    for (const auto& item : this->routers)
+        item->table.update_paces(to_instant(this->now));
+    constexpr double interval_s = 0.05;
+    this->after(interval_s, [this] { this->update_paces(); });
+}
+
+/** A response states the load and the pace of its server. */
+void simulation::note_stated_pace(const request& item, server_entry& row)
+{
+    const server& from = this->servers[item.server];
+    const bool sheds = this->given.sheds_all && this->is_faulty(item.server);
+    row.set_reported_load(static_cast<std::uint32_t>(from.running.size() + from.waiting.size()),
+                          to_instant(this->now));
+    row.reported_here = true;
+    server_table::note_pace(row, sheds ? server_pace::min_figure : this->pace_of(item.server),
+                            to_instant(this->now));
+}
+
 void simulation::arrive()
 {
     const double work_s = this->given.work_ms / 1000;
@@ -272,6 +338,7 @@
         span_s *= long_work_multiple;
     }
     if (this->is_peak()) span_s *= this->given.peak_work_multiple;
+    span_s *= this->pace_of(at);
     return this->is_faulty(at) ? span_s * this->given.slow_server_multiple : span_s;
 }
 
@@ -367,7 +434,7 @@
 
 void simulation::reject(std::size_t at, std::size_t id)
 {
-    ++this->result.shed;
+    if (this->now >= this->given.measured_from_s) ++this->result.shed;
     this->respond(id, attempt_result::rejected);
     if (this->given.rejection_limit == 0 || this->now < queue_shortened_at_s) return;
     std::deque<double>& times = this->servers[at].rejected_at;
@@ -431,6 +498,7 @@
         --row.in_flight;
         row.last_received_at = to_instant(this->now);
         if (this->given.rejection_limit > 0) this->note_response(item, row, how);
+        if (this->given.states_pace) this->note_stated_pace(item, row);
         server_table::on_attempt_ended(row, to_duration(this->now - item.sent), !served,
                                        to_instant(this->now));
     }
@@ -439,6 +507,8 @@
         this->send(id);
         return;
     }
+    if (item.arrived < this->given.measured_from_s) return;
+    ++this->servers[item.server].served;
     const double span_ms = (this->now - item.arrived) * 1000;
     this->response_times_ms.push_back(span_ms);
     if (span_ms > this->given.late_threshold_ms) ++this->result.late;
@@ -481,12 +551,17 @@
     const std::vector<outcome_counts> outcomes = this->routers[vm]->table.drain_outcomes();
     const std::vector<rejection_report> rejections =
         this->routers[vm]->table.drain_rejections(to_instant(this->now));
-    this->after(this->given.propagation_delay_s, [this, vm, outcomes, rejections] {
+    const std::vector<reported_load> loads =
+        this->routers[vm]->table.drain_reported_loads(to_instant(this->now));
+    const double sent_at = this->now;
+    this->after(this->given.propagation_delay_s, [this, vm, outcomes, rejections, loads, sent_at] {
         for (std::size_t other = 0; other < this->routers.size(); ++other) {
             const bool same_data_centre = this->routers[other]->centre == this->routers[vm]->centre;
             if (other == vm || !same_data_centre) continue;
             for (const outcome_counts& item : outcomes)
                 this->routers[other]->table.apply_outcomes(item, to_instant(this->now));
+            for (const reported_load& item : loads)
+                this->routers[other]->table.apply_reported_load(item, to_instant(sent_at));
             for (const rejection_report& item : rejections)
                 this->routers[other]->table.apply_rejections(item, to_instant(this->now));
         }
--- a/lab/plain_service.h
+++ b/lab/plain_service.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "ids.h"
+#include "placement_policy.h"
 
 namespace lab {
 
@@ -29,6 +30,14 @@
     double first_centre_rate_multiple = 1;
     /** Factor on the service time of the first server after a third of the run. */
     double slow_server_multiple = 1;
+    std::size_t slow_servers = 0; ///< the first ones; their service times have this factor:
+    double slow_servers_multiple = 4;
+    /** Standard deviation of the logarithm of each server's pace, whose mean is 1 and which changes
+     * ten times a second; 0: constant. */
+    double pace_spread = 0;
+    /** Responses state load and pace; a server that sheds all states the lowest pace. */
+    bool states_pace = false;
+    double slow_pace = worksshift::placement_policy{}.slow_pace;
     /** The first server sheds all requests after a third of the run. */
     bool sheds_all = false;
     /** Number of rejections per second above which a server crashes; 0: servers do not crash. The
@@ -41,6 +50,7 @@
     double peak_work_multiple = 1;
     double propagation_delay_s = 0.15; ///< delay until other VMs learn of an event
     double seconds = 20;
+    double measured_from_s = 0;     ///< results of earlier requests are left out
     double late_threshold_ms = 150; ///< a response that takes longer than this counts as late
 };
 
@@ -67,6 +77,10 @@
     std::size_t late = 0;
     std::size_t crashes = 0; ///< of servers
     double p99_ms = 0;
+    double mean_ms = 0;
+    /** Largest ratio of a server's responses to its fair share, which is in proportion to its
+     * speed. Without faults that begin during the run. */
+    double busiest_share = 0;
 
     [[nodiscard]] double share(std::size_t part) const
     {
--- a/src/fleet_digest.cpp
+++ b/src/fleet_digest.cpp
@@ -1,5 +1,6 @@
 #include "fleet_digest.h"
 
+#include <algorithm>
 #include <limits>
 #include <sstream>
 
@@ -114,13 +115,17 @@
     save_items(archive, item.leaving_servers);
     save_items(archive, item.vms);
     // Fields at the end are left out together with all after them.
-    const bool has_limits = !item.limits.empty();
+    std::vector<std::uint8_t> paces(item.reported_loads.size());
+    std::ranges::transform(item.reported_loads, paces.begin(), &reported_load::pace);
+    const bool has_paces = std::ranges::any_of(paces, [](std::uint8_t pace) { return pace != 0; });
+    const bool has_limits = has_paces || !item.limits.empty();
     const bool has_members = has_limits || item.local_members != 0;
     const bool has_size = has_members || item.fleet_vms != 0;
     if (has_size || !item.rejections.empty()) save_items(archive, item.rejections);
     if (has_size) archive(item.fleet_vms);
     if (has_members) archive(item.local_members);
     if (has_limits) save_items(archive, item.limits);
+    if (has_paces) save_items(archive, paces);
 }
 
 template <class Archive>
@@ -165,6 +170,11 @@
         if (has_more()) archive(digest.fleet_vms);
         if (has_more()) archive(digest.local_members);
         if (has_more()) load_items(archive, digest.limits);
+        std::vector<std::uint8_t> paces;
+        if (has_more()) load_items(archive, paces);
+        const std::size_t known = std::min(paces.size(), digest.reported_loads.size());
+        for (std::size_t i = 0; i < known; ++i)
+            digest.reported_loads[i].pace = paces[i];
         return digest;
     } catch (const std::exception& fault) {
         throw peer_error("digest", peer, fault.what());
--- a/src/fleet_digest.h
+++ b/src/fleet_digest.h
@@ -47,6 +47,9 @@
     std::uint32_t server = 0; ///< low half of the hash of its id
     std::uint16_t requests = 0;
     std::uint8_t age = 0; ///< in units of `reported_age_unit`
+    /** Pace that the server stated with it, see `encode_pace`; 0: none. Encoded apart from the
+     * other figures, at the end of the digest. */
+    std::uint8_t pace = 0;
 };
 constexpr duration reported_age_unit = milliseconds(10);
 /** Maximum number of reported loads in one digest; the newest are kept. */
@@ -167,6 +170,7 @@
      */
     std::uint16_t local_members = 0;
     std::vector<service_limit> limits; ///< in force
+    // After `limits`, the paces of `reported_loads` in their order, if any is known.
 };
 
 std::string encode(const fleet_digest& digest);
--- a/src/placement_policy.h
+++ b/src/placement_policy.h
@@ -38,6 +38,10 @@
      * engines at a sixth of their speed during a wave of short requests, late requests fell from
      * 16% to 9%. */
     double slow_multiple = 2;
+    /** A server whose smoothed pace, as stated by itself, exceeds this multiple of the median of
+     * its service counts as slow; 0: stated paces are not used at all. Below it an engine keeps its
+     * prompts, as processing them again elsewhere takes longer than its delay. */
+    double slow_pace = 1.75;
     /** Multiple of the silence timeout after which a request is retried elsewhere if its server
      * still answers other requests. */
     double responsive_timeout_multiple = 4;
--- a/src/plain_choice.cpp
+++ b/src/plain_choice.cpp
@@ -1,6 +1,8 @@
 #include "plain_choice.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <numeric>
 #include <vector>
 
@@ -33,6 +35,23 @@
     return factors;
 }
 
+/** Lowers the factors of servers that state a slower pace than the others do. Stated paces are not
+ * affected by queueing, so small differences count. Only servers whose responses are usable and not
+ * slow set the standard: one that is fast because it fails must not. */
+void apply_paces(std::span<server_entry* const> rows, std::vector<double>& factors)
+{
+    double best = std::numeric_limits<double>::max();
+    for (std::size_t i = 0; i < rows.size(); ++i) {
+        if (factors[i] >= 1) best = std::min(best, rows[i]->expected_pace);
+    }
+    for (std::size_t i = 0; i < rows.size(); ++i) {
+        const double slowdown = rows[i]->expected_pace / (best * similar_pace_multiple);
+        if (slowdown <= 1) continue;
+        const double factor = 1 / (slowdown * slowdown * slowdown);
+        factors[i] = std::min(factors[i], std::max(factor, min_draw_share));
+    }
+}
+
 std::size_t draw(std::span<const double> weights, std::minstd_rand& random)
 {
     return std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(random);
@@ -55,7 +74,9 @@
     std::ranges::transform(rows, expected.begin(), [mean_s](const server_entry* row) {
         return row->outcomes.expected_s(mean_s);
     });
-    const std::vector<double> factors = speed_factors(expected);
+    const std::vector<double> speeds = speed_factors(expected);
+    std::vector<double> factors = speeds;
+    apply_paces(rows, factors);
     std::vector<double> weights(rows.size());
     std::ranges::transform(
         rows, factors, weights.begin(), [&](const server_entry* row, double factor) {
@@ -67,7 +88,9 @@
     if (rows.size() > 1) {
         weights[first] = 0;
         const std::size_t second = draw(weights, random);
-        const bool better = factors[second] >= factors[first] &&
+        const bool similar_pace =
+            rows[second]->expected_pace <= rows[first]->expected_pace * similar_time_multiple;
+        const bool better = speeds[second] >= speeds[first] && similar_pace &&
                             own_utilization(*rows[second]) < own_utilization(*rows[first]);
         if (better) chosen = second;
     }
--- a/src/plain_choice.h
+++ b/src/plain_choice.h
@@ -21,6 +21,9 @@
  * same probability per slot. Smaller differences are mostly noise, and VMs that act on them would
  * make each other switch servers. */
 constexpr double similar_time_multiple = 1.5;
+/** The same for the paces that servers state, which are not affected by queueing. Without it, 84
+ * VMs that follow paces which change ten times a second around 1 raised the mean response time. */
+constexpr double similar_pace_multiple = 1.25;
 /** Minimum weight of a server relative to the best one, so that its recovery is noticed. */
 constexpr double min_draw_share = 0.02;
 /** Factor on the weight of servers in the VM's own data centre, as traffic between data centres has
--- a/src/protocol.h
+++ b/src/protocol.h
@@ -66,6 +66,9 @@
     std::optional<duration> retry_after;
     std::optional<std::uint32_t> load; ///< requests running or queued at the server
     std::uint32_t queued = 0;          ///< of these, queued; 0 if unknown
+    /** How long work currently takes on the server's machine; 1: as long as usual. std::nullopt:
+     * not stated. */
+    std::optional<double> pace;
     /** The server crashes if it has to reject more requests than this in a second, and may accept
      * fewer waiting requests soon. std::nullopt: it stated no limit. */
     std::optional<std::uint32_t> rejection_limit;
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -366,6 +366,7 @@
         request->row->set_reported_load(*metadata.load, request->last_byte_at);
         request->row->reported_here = true;
     }
+    if (metadata.pace) server_table::note_pace(*request->row, *metadata.pace, now());
     request->refused = metadata.not_executed || head.status == misdirected;
     this->begin_attempt_response(*request, head);
     if (head.status == misdirected) {
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -135,6 +135,7 @@
     this->servers.sweep(time);
     this->servers.expire_reported_loads(time);
     this->servers.mark_slow(time);
+    this->servers.update_paces(time);
     this->servers.sum_loads(time);
     this->update_peer_loads(time);
     this->update_server_assignments(time);
@@ -499,6 +500,9 @@
     text << "worksshift_services_cut_off " << this->servers.services_cut_off() << '\n';
     text << "worksshift_requests_of_other_vms " << this->path.relayed() << '\n';
     text << "worksshift_cold_servers " << this->servers.cold_servers(now()) << '\n';
+    text << "worksshift_slow_servers " << this->servers.slow_servers() << '\n';
+    for (const auto& [service, pace] : this->servers.mean_paces())
+        text << "worksshift_service_pace{service=\"" << service.text << "\"} " << pace << '\n';
     text << "worksshift_blocked_contents " << this->path.suspects().blocked_contents() << '\n';
     text << "worksshift_digest_bytes_sent_total " << this->gossip.bytes_sent() << '\n';
     text << "worksshift_stream_origins " << this->path.stream_versions().streams() << '\n';
--- a/src/router_settings.cpp
+++ b/src/router_settings.cpp
@@ -34,6 +34,9 @@
     placement_setting{
         "slow-multiple", &placement_policy::slow_multiple, 1000,
         "multiple of the first-quartile delay from which an engine is slow, 0 to 1000; 0: never"},
+    placement_setting{
+        "slow-pace", &placement_policy::slow_pace, 1000,
+        "multiple of the median stated pace from which a server is slow, 0 to 1000; 0: not used"},
     placement_setting{
         "patience-while-heard", &placement_policy::responsive_timeout_multiple, 1000,
         "multiple of the silence timeout for a server that responds to others, 0 to 1000"},
--- a/src/server_entry.h
+++ b/src/server_entry.h
@@ -15,6 +15,7 @@
 #include "protocol.h"
 #include "recent_outcomes.h"
 #include "server_health.h"
+#include "server_pace.h"
 #include "server_path.h"
 #include "software_version.h"
 
@@ -79,6 +80,12 @@
     cold_request_limiter trial; ///< while it is failing: when this VM may send it a trial request
     bool slow = false;          ///< compared to the engines of its service, see `mark_slow`
 
+    server_pace pace; ///< from the figures that the server states
+    /** Smoothed pace as of the last `update_paces`; 1 if it is unknown or not used. */
+    double expected_pace = 1;
+    bool slow_by_pace = false;               ///< compared to its service, see `update_paces`
+    std::optional<double> unreported_pace{}; ///< stated to this VM, not yet passed on to others
+
     /** After this time without a byte while attempts are in flight, the server is unresponsive:
      * it may be unreachable, which open connections do not show. New requests go elsewhere until it
      * sends something. Engines send every few tens of ms. With a third of the engines unresponsive
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -424,7 +424,7 @@
 {
     for (auto& [service, group] : this->services) {
         group.sum = {};
-        group.sum.span_s = as_seconds(group.forecast.span());
+        double usual_slots = 0; // slots of servers of the usual pace that serve the same rate
         for (const server_entry* row : group.rows) {
             if (!row->accepts_requests() || !row->health.usable(now) || row->unresponsive(now))
                 continue;
@@ -432,11 +432,14 @@
             if (group.traits.has_cold_limit() && row->cold.cold(now)) continue;
             ++group.sum.engines;
             group.sum.slots += row->record.slots;
+            usual_slots += row->record.slots / row->expected_pace;
             group.sum.requests += row->load();
             if (!row->report_is_fresh) continue;
             ++group.sum.reporting_engines;
             group.sum.age_s += as_seconds(now - row->load_reported_at);
         }
+        const double mean_pace = usual_slots > 0 ? group.sum.slots / usual_slots : 1;
+        group.sum.span_s = as_seconds(group.forecast.span()) * mean_pace;
         if (group.sum.reporting_engines > 0)
             group.sum.age_s /= static_cast<double>(group.sum.reporting_engines);
     }
@@ -464,6 +467,8 @@
     if (load_reported_at < found->second->listed_at) return;
     found->second->path.on_answered_other(load_reported_at);
     found->second->set_reported_load(report.requests, load_reported_at);
+    if (const auto pace = decode_pace(report.pace))
+        found->second->pace.add(*pace, load_reported_at);
 }
 
 std::vector<reported_load> server_table::drain_reported_loads(instant now)
@@ -476,7 +481,8 @@
         reports.push_back(
             {static_cast<std::uint32_t>(row.hash),
              static_cast<std::uint16_t>(std::min<std::uint32_t>(row.reported_requests, 65535)),
-             static_cast<std::uint8_t>(age)});
+             static_cast<std::uint8_t>(age),
+             encode_pace(std::exchange(row.unreported_pace, std::nullopt))});
     }
     std::ranges::sort(reports, {}, &reported_load::age);
     reports.resize(std::min(reports.size(), max_reported_loads));
@@ -637,7 +643,7 @@
 {
     const duration limit = this->wait_limit(group);
     if (limit == duration::max()) return true;
-    if (high_ranked) return group.forecast.wait(row.load() + spread, row.record.slots) <= limit;
+    if (high_ranked) return group.wait_at(row, row.load() + spread) <= limit;
     return row.load() + 1 + std::abs(spread) <= this->policy.free_share * row.record.slots;
 }
 
@@ -749,13 +755,20 @@
             row.load() + 1 <= bound &&
             this->has_slot(group, row, weights[at] >= min_high_rank_weight, spread);
         const bool trial_due = has_capacity && row.failing && wanted.repeatable;
-        return std::tuple(has_capacity, trial_due, has_capacity && !row.slow, weights[at]);
+        const bool slow = row.slow || row.slow_by_pace;
+        return std::tuple(has_capacity, trial_due, has_capacity && !slow, weights[at]);
     };
     const auto all = std::views::iota(std::size_t{0}, rows.size());
     const std::size_t best = std::ranges::max(all, {}, grade);
     result.all_engines_full = !std::get<0>(grade(best));
     const bool by_load = result.all_engines_full || wanted.affinity == 0;
-    result.row = by_load ? *std::ranges::min_element(rows, {}, &server_entry::load) : rows[best];
+    // Below the load bound, the engine whose requests together take the shortest time.
+    const auto expected_work = [bound](const server_entry* row) {
+        const double load = row->load();
+        return std::tuple(load + 1 > bound,
+                          (load + 1) * (load + 1 > bound ? 1 : row->expected_pace));
+    };
+    result.row = by_load ? *std::ranges::min_element(rows, {}, expected_work) : rows[best];
     result.wait = group.wait_at(*result.row);
     const auto at = std::ranges::find(rows, result.row) - rows.begin();
     const std::uint64_t weight = weights[static_cast<std::size_t>(at)];
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -200,7 +200,9 @@
     /** A request occupied a slot of the server for \p span. */
     void on_finished(const server_entry& row, duration span)
     {
-        this->services[row.record.service].forecast.on_finished(span);
+        // The forecast holds the span at the usual pace, so that it applies to all servers.
+        this->services[row.record.service].forecast.on_finished(
+            std::chrono::duration_cast<duration>(span / row.expected_pace));
     }
     /** Target for the time until an engine sends the first event of a response. */
     void set_objective(const service_id& service, duration objective)
@@ -232,6 +234,14 @@
     void expire_reported_loads(instant now);
     /** Marks engines with recent delays far above those of the others. Called once per tick. */
     void mark_slow(instant now);
+    /** A response of the server stated its pace. */
+    static void note_pace(server_entry& row, double figure, instant now);
+    /** Computes the expected paces and marks the servers that are slow. Called once per tick,
+     * before `sum_loads`. */
+    void update_paces(instant now);
+    /** Mean pace of each service whose servers state it. */
+    [[nodiscard]] std::map<service_id, double> mean_paces() const;
+    [[nodiscard]] std::size_t slow_servers() const;
     /** Removes rows that are no longer listed and have no request in flight, and expired back-off
      * periods. */
     void sweep(instant now = {});
@@ -292,7 +302,18 @@
         [[nodiscard]] double rejections_at(const server_entry& row, instant now) const;
         [[nodiscard]] duration wait_at(const server_entry& row) const
         {
-            return this->forecast.wait(row.load(), row.record.slots);
+            return this->wait_at(row, row.load());
+        }
+        /** Mean time for which a request holds a slot of the server. */
+        [[nodiscard]] duration span_at(const server_entry& row) const
+        {
+            return std::chrono::duration_cast<duration>(row.expected_pace * this->forecast.span());
+        }
+        /** Forecast at \p load: a slow server frees its slots more slowly. */
+        [[nodiscard]] duration wait_at(const server_entry& row, double load) const
+        {
+            return std::chrono::duration_cast<duration>(
+                row.expected_pace * this->forecast.wait(load, row.record.slots));
         }
     };
 
@@ -308,6 +329,7 @@
     [[nodiscard]] duration wait_limit(const service_state& group) const;
     void shuffle_highest(std::vector<std::uint64_t>& weights, std::size_t count);
     void mark_slow(service_state& group, instant now) const;
+    void update_paces(service_state& group, instant now) const;
     void update_cold_shares(service_state& group, const fleet_members& members, instant now);
     void mark_failing(service_state& group, const fleet_members& members, instant now);
     void set_failing(server_entry& row, bool failing, instant now);
--- a/src/server_table_rejections.cpp
+++ b/src/server_table_rejections.cpp
@@ -100,7 +100,7 @@
 {
     const service_state& group = this->services[row.record.service];
     if (!group.rejections_limited) return;
-    const duration mean = group.traits.engine ? group.forecast.span() : mean_time(row);
+    const duration mean = group.traits.engine ? group.span_at(row) : mean_time(row);
     const duration span = std::clamp<duration>(mean * 2, min_given_up_time, max_given_up_time);
     std::erase_if(row.given_up_until, [now](instant until) { return until <= now; });
     row.given_up_until.push_back(std::min(deadline, now + span));
