Engine admission by the expected time to first event

Requests waited for a slot for up to half of the shortest objective, before the spread of the load, requests that other VMs had sent since the load report, and the reading of the prompt were added: under a burst of long prompts many requests were admitted whose first event then came late.

The wait now has to leave time for what follows the slot, measured per prompt size, and for unreported arrivals; the spread only shortens queues; the objective is the route's own, or that of more urgent requests; late first events lower the share of slots that is filled. first-event-share = 0 disables it.

--- a/apps/worksshift_experiment.cpp
+++ b/apps/worksshift_experiment.cpp
@@ -88,9 +88,16 @@
                 static_cast<unsigned long long>(result.totals.shared_tokens_read),
                 static_cast<unsigned long long>(result.totals.shared_tokens_copied));
     for (const auto& [name, kind] : result.kinds) {
-        std::printf("  kind=%s asked=%zu on_time=%zu late=%zu refused=%zu left=%zu\n", name.c_str(),
-                    kind.asked, kind.on_time, kind.late, kind.refused, kind.left);
+        std::printf(
+            "  kind=%s asked=%zu on_time=%zu late=%zu late_at_first_attempt=%zu refused=%zu "
+            "left=%zu\n",
+            name.c_str(), kind.asked, kind.on_time, kind.late, kind.late_at_first_attempt,
+            kind.refused, kind.left);
     }
+    std::printf("  in_time_per_s=");
+    for (const double count : result.in_time_per_s)
+        std::printf("%.0f ", count);
+    std::printf("\n");
     std::fflush(stdout);
 }
 
--- a/lab/experiment.cpp
+++ b/lab/experiment.cpp
@@ -66,6 +66,7 @@
     engine_request work;
     instant first_try{};
     instant sent{};
+    duration expected_wait{};
     instant first_event{};
     bool retried = false;
     bool at_engine = false;
@@ -293,8 +294,11 @@
     item->vm = draw_vm(this->random);
     vm_model& vm = *this->vms[item->vm];
     vm.admission_control.on_request(engines_service, item->work.shared, this->now);
-    const placement_request wanted{
-        engines_service, true, item->work.shared, {}, item->work.priority};
+    const request_kind& kind = this->given.kinds[item->kind];
+    placement_request wanted{engines_service, true, item->work.shared, {}, item->work.priority};
+    wanted.objective = kind.objective;
+    wanted.remaining = kind.deadline - (this->now - item->first_try);
+    wanted.prompt_tokens = item->work.shared_tokens + item->work.own_tokens;
     const admission_decision decided = vm.admission_control.decide(wanted, true, this->now);
     std::visit(
         visitor{[&](const admit_to& to) { this->send(item, to.placement); },
@@ -323,6 +327,7 @@
     item->id = this->next_id++;
     item->work.id = item->id;
     item->sent = this->now;
+    item->expected_wait = where.wait;
     emulated_engine& engine = *this->engines[item->engine];
     const double bound = 2 * this->mean_load() + 3;
     if (this->now - this->start > in_seconds(warm_up_s)) {
@@ -386,6 +391,9 @@
     server_entry& row = this->row(item);
     row.last_received_at = this->now;
     row.first_delay.add(this->now - item.sent, this->now);
+    this->vms[item.vm]->table.on_first_event(
+        engines_service, {item.work.shared_tokens + item.work.own_tokens, this->now - item.sent,
+                          item.expected_wait, this->given.kinds[item.kind].objective});
     row.set_reported_load(this->engines[item.engine]->load(), this->now);
     row.reported_here = true;
 }
@@ -414,6 +422,7 @@
     const bool on_time = taken <= kind.objective;
     kind_totals.on_time += on_time ? 1 : 0;
     kind_totals.late += on_time ? 0 : 1;
+    kind_totals.late_at_first_attempt += on_time || item.retried ? 0 : 1;
     kind_totals.earned += on_time ? kind.worth : kind.worth_late;
     const auto second = static_cast<std::size_t>((item.first_try - this->start) / seconds(1));
     if (on_time) this->result.on_time_by_second[second] += 1;
@@ -489,6 +498,7 @@
         for (const auto& engine : this->engines)
             engine->step(this->now);
     }
+    this->result.in_time_per_s = this->result.on_time_by_second;
     for (std::size_t i = 0; i < this->asked_by_second.size(); ++i) {
         if (this->asked_by_second[i] > 0)
             this->result.on_time_by_second[i] /= this->asked_by_second[i];
@@ -556,6 +566,7 @@
         {"no-slot-limit", [](placement_policy& policy) { policy.wait_of_objective = 0; }},
         {"no-rate-limit", [](placement_policy& policy) { policy.busy_from = 0; }},
         {"no-slow", [](placement_policy& policy) { policy.slow_multiple = 0; }},
+        {"no-forecast", [](placement_policy& policy) { policy.first_event_share = 0; }},
         {"no-spread", [](placement_policy& policy) { policy.load_spread = 0; }},
         {"no-hot-prompts", [](placement_policy& policy) { policy.hot_prompt_share = 0; }},
         {"any-rank", [](placement_policy& policy) { policy.ranks_to_wait_at = 1000; }},
--- a/lab/experiment.h
+++ b/lab/experiment.h
@@ -22,6 +22,9 @@
     std::size_t asked = 0;
     std::size_t on_time = 0;
     std::size_t late = 0;
+    /** Of the late ones, those sent at their first attempt: a request that was refused and retried
+     * has used up part of its objective. */
+    std::size_t late_at_first_attempt = 0;
     std::size_t refused = 0;     ///< at the first attempt, and at the retry if there was one
     std::size_t left = 0;        ///< the caller left before the first event
     double attainable_value = 0; ///< sum of the worth of all requests
@@ -32,6 +35,7 @@
 struct outcome {
     std::map<std::string, kind_outcome> kinds;
     std::vector<double> on_time_by_second; ///< share of the requests first sent in that second
+    std::vector<double> in_time_per_s;     ///< requests first sent in that second, served in time
     /** Share of the sends after the first second that went to an engine whose load exceeded the
      * load bound, twice the mean load plus three. */
     double over_bound = 0;
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -93,8 +93,10 @@
     }
     // Admits less than the service rate while requests are queued, to drain the queue, and more
     // while slots are free, to fill them.
-    const double correction =
-        std::clamp(2 - inputs.slot_utilisation, min_rate_correction, max_rate_correction);
+    const bool forecast = policy.first_event_share > 0;
+    const double excess = forecast ? (inputs.slot_utilisation - load.fill) * forecast_rate_gain
+                                   : inputs.slot_utilisation - 1;
+    const double correction = std::clamp(1 - excess, min_rate_correction, max_rate_correction);
     inputs.admitted_share =
         std::min(1.0, inputs.service_rate_per_s / inputs.demand_per_s * correction);
     return inputs;
--- a/src/admission.h
+++ b/src/admission.h
@@ -62,6 +62,9 @@
 /** Limits of the factor by which the admitted rate may differ from the engines' service rate. */
 constexpr double min_rate_correction = 0.4;
 constexpr double max_rate_correction = 1.25;
+/** Change of that factor per share of the slots that is queued or free, where first events are
+ * forecast: a queue of 5% of the slots takes a tenth of the objective of a stream. */
+constexpr double forecast_rate_gain = 3;
 
 class admission {
 public:
--- a/src/placement_policy.h
+++ b/src/placement_policy.h
@@ -11,6 +11,10 @@
      * shortest latency objective of its service; 0: none is refused. Processing the prompt and the
      * first decoding step take up to another third of the objective. */
     double wait_of_objective = 0.5;
+    /** Share of a request's own latency objective within which its first event is expected, with
+     * the wait for a slot, the reading of its prompt and the arrivals that are not yet known; 0:
+     * requests are admitted by the wait for a slot alone. */
+    double first_event_share = 0.8;
     /** While at least this share of all slots is in use, requests are admitted at the engines'
      * service rate; 0: disabled. In a fleet of 80 VMs the loads of single engines are known too
      * late: in a wave, the median time to first event was 1,000 ms with their sums alone and 290 ms
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 
 #include "log.h"
 #include "visitor.h"
@@ -38,6 +39,13 @@
     return std::chrono::duration_cast<milliseconds>(span).count();
 }
 
+/** All tokens of the request's prompt, as its caller states them. */
+std::uint32_t prompt_tokens_of(const request_metadata& metadata)
+{
+    const auto add = [](std::uint32_t sum, const prompt_part& part) { return sum + part.tokens; };
+    return std::accumulate(metadata.prompt.begin(), metadata.prompt.end(), std::uint32_t{}, add);
+}
+
 /** Weighted choice of a target service by request id, the same for all attempts of a request. */
 const service_id& pick_target(const route& chosen, const std::string& request_id)
 {
@@ -273,6 +281,9 @@
         request.matched_route->repeatable() && request.runs + 1 < request.max_runs();
     wanted.allowed_regions = {request.matched_route->allowed_regions, request.account_regions};
     wanted.version = request.required_version;
+    wanted.objective = request.matched_route->latency_objective;
+    wanted.remaining = request.deadline - now();
+    wanted.prompt_tokens = prompt_tokens_of(request.metadata);
     return wanted;
 }
 
@@ -287,6 +298,10 @@
                {"load", refusal.placement.load},
                {"mean_load", refusal.placement.mean_load},
                {"wait_ms", in_ms(refusal.placement.wait)},
+               {"start_ms", in_ms(refusal.placement.start_time)},
+               {"objective_ms", in_ms(refusal.placement.objective)},
+               {"fill", refusal.placement.fill},
+               {"prompt_tokens", prompt_tokens_of(request.metadata)},
                {"share", refusal.inputs.admitted_share},
                {"asked_per_s", refusal.inputs.demand_per_s},
                {"served_per_s", refusal.inputs.service_rate_per_s},
@@ -455,6 +470,7 @@
         if (request.row != nullptr) {
             request.row->first_delay.add(request.last_byte_at - request.sent_at,
                                          request.last_byte_at);
+            if (request.engine) this->record_first_event(request);
         }
         this->note_begun(request, request.last_byte_at);
     }
@@ -468,6 +484,17 @@
     this->callers.begin_response(request.id, request.response_head, events);
 }
 
+/** Lets the forecast of first events learn from that of the current attempt. */
+void request_path::record_first_event(const live_request& request)
+{
+    const duration delay = request.last_byte_at - request.sent_at;
+    const duration objective = request.matched_route->latency_objective;
+    this->table.on_first_event(request.service, {prompt_tokens_of(request.metadata), delay,
+                                                 request.placement.wait, objective});
+    if (objective > duration::zero() && delay > objective)
+        this->telemetry.count("worksshift_late_first_events_total");
+}
+
 /** Detaches the finished attempt and decrements its server's in-flight count. */
 void request_path::release(live_request& request)
 {
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -131,6 +131,7 @@
     void begin_attempt_response(live_request& request, const http_head& head);
     void on_response_body(std::uint64_t attempt, std::string_view bytes);
     void forward_body(live_request& request, std::string_view bytes);
+    void record_first_event(const live_request& request);
     void on_attempt_end(const attempt_outcome& end);
     void record_outcome(const live_request& request, const attempt_outcome& end, instant time);
     void abandon_silent_attempt(live_request& request, instant time);
--- a/src/router_settings.cpp
+++ b/src/router_settings.cpp
@@ -24,6 +24,9 @@
     placement_setting{
         "wait-of-objective", &placement_policy::wait_of_objective, 10,
         "share of the latency objective that a request may wait for a slot, 0 to 10; 0: no limit"},
+    placement_setting{"first-event-share", &placement_policy::first_event_share, 10,
+                      "share of a request's latency objective within which its first event is "
+                      "expected, 0 to 10; 0: not forecast"},
     placement_setting{
         "busy-from", &placement_policy::busy_from, 10,
         "share of used slots from which requests are admitted by rate, 0 to 10; 0: never"},
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -425,6 +425,7 @@
     for (auto& [service, group] : this->services) {
         group.sum = {};
         group.sum.span_s = as_seconds(group.forecast.span());
+        group.sum.fill = group.first_events.fill();
         for (const server_entry* row : group.rows) {
             if (!row->accepts_requests() || !row->health.usable(now) || row->unresponsive(now))
                 continue;
@@ -628,14 +629,41 @@
     return std::chrono::duration_cast<duration>(group.objective * this->policy.wait_of_objective);
 }
 
+/** Maximum forecast wait for a slot with which the first event still comes in time. Not more than
+ * without the forecast, as other requests may take the slot first. */
+duration server_table::wait_limit(const service_state& group,
+                                  const placement_result& forecast) const
+{
+    const duration limit = this->wait_limit(group);
+    if (this->policy.first_event_share <= 0 || limit == duration::max()) return limit;
+    const std::chrono::duration<double> objective = forecast.objective;
+    const auto share_of_objective = [objective](double share) {
+        return std::chrono::duration_cast<duration>(objective * share);
+    };
+    const duration left = share_of_objective(this->policy.first_event_share) - forecast.start_time;
+    return std::clamp(left, duration::zero(), share_of_objective(this->policy.wait_of_objective));
+}
+
+/** Sets what is known of the first event of the request in \p result. */
+void server_table::forecast_first_event(service_state& group, const placement_request& wanted,
+                                        placement_result& result, instant now) const
+{
+    if (this->policy.first_event_share <= 0) return;
+    const duration own = wanted.objective > duration::zero() ? wanted.objective : group.objective;
+    first_event_forecast& known = group.first_events;
+    known.on_request(wanted.priority, wanted.objective, now);
+    result.objective = known.objective_for(wanted.priority, own, now);
+    result.start_time = known.start_time(wanted.prompt_tokens);
+    result.fill = known.fill();
+}
+
 /** Whether a slot becomes free within the wait limit. \p high_ranked: the engine is among the
  * highest-ranked for the prompt; others must have a share of their slots free. \p spread: random
  * offset of this request, in requests, so that the VMs do not all switch engines at the same load.
  */
 bool server_table::has_slot(const service_state& group, const server_entry& row, bool high_ranked,
-                            double spread) const
+                            double spread, duration limit) const
 {
-    const duration limit = this->wait_limit(group);
     if (limit == duration::max()) return true;
     if (high_ranked) return group.forecast.wait(row.load() + spread, row.record.slots) <= limit;
     return row.load() + 1 + std::abs(spread) <= this->policy.free_share * row.record.slots;
@@ -683,7 +711,7 @@
     if (rows.empty()) return {};
     placement_result result;
     if (wanted.engine) {
-        result = this->choose_engine(wanted, open);
+        result = this->choose_engine(wanted, open, now);
     } else {
         const plain_choice choice = choose_plain(rows, this->here, now, this->random);
         result.row = choice.row;
@@ -727,9 +755,9 @@
 /** Selects in linear time: sorting all servers by rank took 301 us with 1,400 servers, this takes
  * 38 us (`measure router`). */
 placement_result server_table::choose_engine(const placement_request& wanted,
-                                             const candidate_list& open)
+                                             const candidate_list& open, instant now)
 {
-    const service_state& group = this->services[wanted.service];
+    service_state& group = this->services[wanted.service];
     const row_list& rows = open.rows;
     placement_result result;
     result.mean_load = open.mean_load;
@@ -742,12 +770,19 @@
             : std::max(static_cast<std::size_t>(this->policy.ranks_to_wait_at), wanted.engines);
     const std::uint64_t min_high_rank_weight = weight_at(weights, ranks);
     std::uniform_real_distribution<double> distribution(-1, 1);
-    const double spread = distribution(this->random) * this->policy.load_spread;
+    const double offset = distribution(this->random) * this->policy.load_spread;
+    this->forecast_first_event(group, wanted, result, now);
+    const duration limit = this->wait_limit(group, result);
+    // With a forecast, requests that other VMs have sent since the load was reported count, and the
+    // spread never lets the queue exceed its limit.
+    const double spread = this->policy.first_event_share > 0
+                              ? std::abs(offset) / 2 + load_deviation(group.sum)
+                              : offset;
     const auto grade = [&](std::size_t at) {
         const server_entry& row = *rows[at];
         const bool has_capacity =
             row.load() + 1 <= bound &&
-            this->has_slot(group, row, weights[at] >= min_high_rank_weight, spread);
+            this->has_slot(group, row, weights[at] >= min_high_rank_weight, spread, limit);
         const bool trial_due = has_capacity && row.failing && wanted.repeatable;
         return std::tuple(has_capacity, trial_due, has_capacity && !row.slow, weights[at]);
     };
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "crash_suspects.h"
+#include "first_event_forecast.h"
 #include "fleet_digest.h"
 #include "placement_policy.h"
 #include "protocol.h"
@@ -57,6 +58,11 @@
     /** The only version of the software that may serve it, as it wrote the first events of the
      * stream; std::nullopt: any version may. */
     std::optional<software_version> version{};
+
+    // For the forecast of its first event, see first_event_forecast.h.
+    duration objective{};            ///< of its route; zero: the shortest of its service
+    duration remaining{};            ///< until its deadline; zero: not known
+    std::uint32_t prompt_tokens = 0; ///< all tokens of its prompt
 };
 
 /** The selected server, and the figures behind the selection. */
@@ -72,6 +78,11 @@
     /** Server that probably has the shared part of the prompt cached if the selected one does not;
      * nullptr if there is none. */
     const server_entry* cached_at = nullptr;
+
+    // Forecast of its first event; zero where `first_event_share` is 0.
+    duration objective{};  ///< with which the forecast was compared
+    duration start_time{}; ///< expected from the slot to the first event
+    double fill = 1;       ///< share of the slots that admission fills
 };
 
 /** Totals over the engines of a service that accept requests. Engines that are failing,
@@ -83,6 +94,7 @@
     double span_s = 0;                 ///< mean time for which a request occupies a slot
     std::size_t reporting_engines = 0; ///< engines with a current load report of their own
     double age_s = 0;                  ///< mean age of these reports
+    double fill = 1; ///< share of the slots to fill so that first events come in time
 };
 
 /** The servers that this VM knows, by id, with their load and health. */
@@ -202,6 +214,11 @@
     {
         this->services[row.record.service].forecast.on_finished(span);
     }
+    /** An engine of the service sent a first event. */
+    void on_first_event(const service_id& service, const first_event_sample& sample)
+    {
+        this->services[service].first_events.on_first_event(sample);
+    }
     /** Target for the time until an engine sends the first event of a response. */
     void set_objective(const service_id& service, duration objective)
     {
@@ -252,7 +269,8 @@
     };
 
     [[nodiscard]] candidate_list candidates(const placement_request& wanted, instant now) const;
-    placement_result choose_engine(const placement_request& wanted, const candidate_list& open);
+    placement_result choose_engine(const placement_request& wanted, const candidate_list& open,
+                                   instant now);
     [[nodiscard]] bool is_open(const service_state& group, const server_entry& row,
                                instant now) const;
     /** Whether the regions allowed for the request include the server's region, and the server has
@@ -277,6 +295,7 @@
     struct service_state {
         row_list rows;
         slot_forecast forecast;
+        first_event_forecast first_events;
         service_reach reach;
         rejection_limit limit;
         bool rejections_limited = false;        ///< `limit` was in force when last checked
@@ -302,10 +321,14 @@
     static bool has_room(const service_state& group, const server_entry& row, instant now);
 
     [[nodiscard]] bool has_slot(const service_state& group, const server_entry& row,
-                                bool high_ranked, double spread) const;
+                                bool high_ranked, double spread, duration limit) const;
     [[nodiscard]] bool is_engine(const server_entry& row) const;
     [[nodiscard]] double load_bound_of(const service_state& group, double mean) const;
     [[nodiscard]] duration wait_limit(const service_state& group) const;
+    [[nodiscard]] duration wait_limit(const service_state& group,
+                                      const placement_result& forecast) const;
+    void forecast_first_event(service_state& group, const placement_request& wanted,
+                              placement_result& result, instant now) const;
     void shuffle_highest(std::vector<std::uint64_t>& weights, std::size_t count);
     void mark_slow(service_state& group, instant now) const;
     void update_cold_shares(service_state& group, const fleet_members& members, instant now);
