--- a/src/server_table.h
+++ b/src/server_table.h
@@ -59,7 +59,7 @@
      * stream; std::nullopt: any version may. */
     std::optional<software_version> version{};
 
-    // For the forecast of its first event, see first_event_forecast.h.
+    // For admission control, see first_event_forecast.h and plain_admission.h.
     duration objective{};            ///< of its route; zero: the shortest of its service
     duration remaining{};            ///< until its deadline; zero: not known
     std::uint32_t prompt_tokens = 0; ///< all tokens of its prompt
@@ -227,6 +227,11 @@
     {
         this->services[service].objective = objective;
     }
+    // For admission to plain services, see plain_admission.h.
+    /** Zero if none is set. */
+    [[nodiscard]] duration objective_of(const service_id& service) const;
+    /** The servers of the service that accept requests. */
+    [[nodiscard]] std::vector<server_entry*> accepting_servers(const service_id& service) const;
     placement_policy policy;
     /** What the specified bound on requests to cold servers allows. */
     cold_tolerance cold_request_tolerance;
