--- a/src/placement_policy.h
+++ b/src/placement_policy.h
@@ -13,8 +13,9 @@
     double wait_of_objective = 0.5;
     /** Share of a request's own latency objective within which its first event is expected, with
      * the wait for a slot, the reading of its prompt and the arrivals that are not yet known; 0:
-     * requests are admitted by the wait for a slot alone. */
-    double first_event_share = 0.8;
+     * requests are admitted by the wait for a slot alone. Off by default: with 0.8, a burst of long
+     * prompts in a fleet of 87 VMs served long requests less often than less urgent ones. */
+    double first_event_share = 0;
     /** While at least this share of all slots is in use, requests are admitted at the engines'
      * service rate; 0: disabled. In a fleet of 80 VMs the loads of single engines are known too
      * late: in a wave, the median time to first event was 1,000 ms with their sums alone and 290 ms
