--- a/lab/plain_service.h
+++ b/lab/plain_service.h
@@ -50,7 +50,6 @@
     double peak_work_multiple = 1;
     double propagation_delay_s = 0.15; ///< delay until other VMs learn of an event
     double seconds = 20;
-    double measured_from_s = 0;     ///< results of earlier requests are left out
     double late_threshold_ms = 150; ///< a response that takes longer than this counts as late
 
     // Admission control of the product, with `late_threshold_ms` as the objective.
