--- a/src/fleet_digest.cpp
+++ b/src/fleet_digest.cpp
@@ -67,6 +67,12 @@
     archive(item.service, item.per_s, item.age);
 }
 
+template <class Archive>
+void serialize(Archive& archive, service_requests& item)
+{
+    archive(item.service, item.requests);
+}
+
 template <class Archive>
 void serialize(Archive& archive, crash_report& item)
 {
@@ -117,7 +123,9 @@
     // Fields at the end are left out together with all after them.
     std::vector<std::uint8_t> paces(item.reported_loads.size());
     std::ranges::transform(item.reported_loads, paces.begin(), &reported_load::pace);
-    const bool has_paces = std::ranges::any_of(paces, [](std::uint8_t pace) { return pace != 0; });
+    const bool has_engine_requests = !item.engine_requests.empty();
+    const bool has_paces = has_engine_requests ||
+                           std::ranges::any_of(paces, [](std::uint8_t pace) { return pace != 0; });
     const bool has_limits = has_paces || !item.limits.empty();
     const bool has_members = has_limits || item.local_members != 0;
     const bool has_size = has_members || item.fleet_vms != 0;
@@ -126,6 +134,7 @@
     if (has_members) archive(item.local_members);
     if (has_limits) save_items(archive, item.limits);
     if (has_paces) save_items(archive, paces);
+    if (has_engine_requests) save_items(archive, item.engine_requests);
 }
 
 template <class Archive>
@@ -175,6 +184,7 @@
         const std::size_t known = std::min(paces.size(), digest.reported_loads.size());
         for (std::size_t i = 0; i < known; ++i)
             digest.reported_loads[i].pace = paces[i];
+        if (has_more()) load_items(archive, digest.engine_requests);
         return digest;
     } catch (const std::exception& fault) {
         throw peer_error("digest", peer, fault.what());
--- a/src/placement_policy.h
+++ b/src/placement_policy.h
@@ -53,6 +53,9 @@
     /** At this share of recent failures, as reported by VMs of the same data centre, an engine gets
      * only occasional trial requests; 0: none is avoided. */
     double failing_share = 0.3;
+    /** Above 0, reported loads of engines are lowered as the requests in flight of the data centre
+     * fall; 0: a report counts unchanged until it expires. */
+    double load_estimate = 1;
     /** Share of a cold server's tolerated requests per second that is used, and that determines how
      * many VMs may send them; 0: all VMs may, each an equal share. The unused third allows for VMs
      * that disagree on which VMs are alive. */
--- a/src/router_settings.cpp
+++ b/src/router_settings.cpp
@@ -48,6 +48,9 @@
     placement_setting{
         "lateness-margin", &placement_policy::lateness_margin, 100,
         "standard deviations of unreported load subtracted from the load bound, 0 to 100"},
+    placement_setting{
+        "load-estimate", &placement_policy::load_estimate, 1,
+        "whether reported loads are lowered while the load of a service falls, 1 or 0"},
     placement_setting{
         "cold-senders", &placement_policy::cold_senders, 1,
         "VMs that may send to a cold server, as a share of its allowed requests per second, "
