--- a/src/plain_admission.cpp
+++ b/src/plain_admission.cpp
@@ -21,8 +21,8 @@
 /** Change of the limit per second, for a response time that differs from its target by the
  * tolerated queueing time. */
 constexpr double gain_per_s = 0.03;
+/** Largest deviation from the target that counts, in tolerated queueing times. */
 constexpr double max_excess = 4;
-/** While there is nearly no queueing, the limit rises faster. */
 /** Estimated share of the slots in use up to which the limit rises. Above 1, as the service time is
  * estimated too long at first by a VM that starts in an overload; the response time ends the rise.
  */
