--- a/test/correctness/long_prompt_burst_is_served_in_time.cpp
+++ b/test/correctness/long_prompt_burst_is_served_in_time.cpp
@@ -98,14 +98,16 @@
         server_table table(data_centre_id{"dc"}, 1U);
         this->add_engine(table, 12); // a request would wait for 300 ms
         CPPUNIT_ASSERT(this->has_slot(table, 0, milliseconds(600)));
-        for (int i = 0; i < 30; ++i)
+        for (int i = 0; i < 30; ++i) {
             table.on_first_event(*table.find({"e"}),
                                  {1000, milliseconds(250), {}, milliseconds(600)});
+        }
         // Of 480 ms, 250 are needed after the slot.
         CPPUNIT_ASSERT(!this->has_slot(table, 0, milliseconds(600)));
-        for (int i = 0; i < 100; ++i)
+        for (int i = 0; i < 100; ++i) {
             table.on_first_event(*table.find({"e"}),
                                  {1000, milliseconds(80), {}, milliseconds(600)});
+        }
         CPPUNIT_ASSERT(this->has_slot(table, 0, milliseconds(600)));
         CPPUNIT_ASSERT(!this->has_slot(table, 0, milliseconds(500)));
     }
