--- a/test/error/responses_without_end.cpp
+++ b/test/error/responses_without_end.cpp
@@ -183,7 +183,8 @@
     void comments()
     {
         this->assert_retried("/stream/x", [](const std::string& request) -> scripted_response {
-            return {stream_head(request) + repeat(chunk(": wait\n\n"), 800 * kib), then::keep};
+            return {stream_head(request) + repeat(chunk(repeat(": wait\n\n", 4 * kib)), 800 * kib),
+                    then::keep};
         });
         this->assert_counted("size");
     }
@@ -191,7 +192,8 @@
     void empty_events()
     {
         this->assert_retried("/stream/x", [](const std::string& request) -> scripted_response {
-            return {stream_head(request) + repeat(chunk("data: \n\n"), 800 * kib), then::keep};
+            return {stream_head(request) + repeat(chunk(repeat("data: \n\n", 4 * kib)), 800 * kib),
+                    then::keep};
         });
         this->assert_counted("size");
     }
