Requests that arrive late in a stop are served in full or refused at once

Cause: a response whose head was sent before SIGTERM cannot announce that its connection closes. Idle connections were closed by a pass every 25 ms, and whatever came before the next pass was accepted, whatever its deadline. Ruled out: an early exit (the cut comes 7.6 s after SIGTERM, as intended). A pass that comes sooner would not do: pipelined requests, requests read in part and requests that wait for the configuration come in without any pause.

Change: graceful_stop decides for each request, by its deadline. Late ones that could be cut off get a 503 that is complete before the connection closes; other VMs that relay one are told to choose another VM. A connection stays open for 100 ms after a response that did not announce its end, and is not closed while the system holds unread bytes of it. The process waits for open connections.

Not changed: what a process does with requests that still run when the grace period is over.

--- a/src/caller_connections.cpp
+++ b/src/caller_connections.cpp
@@ -27,6 +27,11 @@
  * unreachable, and its response would stay buffered. Longer than callers wait for most responses,
  * so that a short network outage costs none of them. */
 constexpr milliseconds caller_unacknowledged_timeout(10000);
+/** How long a connection stays open for the next request, after its last response or since it was
+ * accepted, while the VM stops. A caller that sends at once then gets a response; one that sends
+ * as the connection closes cannot know whether its request ran. Longer than a round trip to
+ * callers of the same region. */
+constexpr duration closing_idle_time = milliseconds(100);
 /** Maximum number of bytes buffered of pipelined requests while a response is in progress. */
 constexpr std::size_t max_read_ahead_bytes = std::size_t{64} * 1024;
 /** A pause of this length is logged. */
@@ -54,6 +59,13 @@
     return size == 0 || (size < 0 && errno == ECONNRESET);
 }
 
+/** Whether the system holds bytes that were not read yet. */
+bool has_unread_input(evutil_socket_t socket)
+{
+    char next = 0;
+    return ::recv(socket, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 } // namespace
 
 struct caller_connections::connection_state {
@@ -579,13 +591,14 @@
     this->check_slow_clients(time);
 }
 
-void caller_connections::stop_listening()
+void caller_connections::stop_listening(instant time)
 {
     this->listener.reset();
     this->vm_listener.reset();
     for (const auto& [id, connection] : this->connections) {
-        if (connection->current_stage == connection_state::stage::reading &&
-            connection->reader.idle())
+        const bool idle = connection->current_stage == connection_state::stage::reading &&
+                          connection->reader.idle() && time - connection->since > closing_idle_time;
+        if (idle && !has_unread_input(bufferevent_getfd(connection->socket.get())))
             this->drop(*connection);
     }
 }
--- a/src/caller_connections.h
+++ b/src/caller_connections.h
@@ -90,10 +90,12 @@
     /** Closes connections that were idle for too long, rejects requests that arrive too slowly,
      * closes those of clients that do not read their responses, and frees closed connections. */
     void sweep(instant now);
-    /** From now on, each connection is closed after its response. */
+    /** From now on, each response whose head is still to be sent announces that its connection
+     * closes. */
     void start_closing() { this->closing = true; }
-    /** Stops accepting connections, and closes those without a request in progress. */
-    void stop_listening();
+    /** Stops accepting connections, and closes those on which no request is coming in. To be called
+     * regularly from then on: connections whose response did not announce it close later. */
+    void stop_listening(instant now);
 
     [[nodiscard]] std::size_t open_connections() const { return this->connections.size(); }
 
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -137,7 +137,31 @@
 void request_path::begin(live_request& request)
 {
     request.config = this->config;
-    if (this->resolve_route(request) && this->resolve_version(request)) this->dispatch(request);
+    if (this->resolve_route(request) && !this->refuse_late(request) &&
+        this->resolve_version(request))
+        this->dispatch(request);
+}
+
+/** Refuses a request that could be cut off by the end of this VM's shutdown. Returns whether it was
+ * refused. */
+bool request_path::refuse_late(live_request& request)
+{
+    const instant time = now();
+    if (this->stop.serves(time, request.deadline)) return false;
+    log_event(log_level::info, "stop_refused",
+              {{"request", request.metadata.id},
+               {"from_vm", request.from_vm ? 1 : 0},
+               {"stopping_ms", in_ms(this->stop.elapsed(time))},
+               {"left_ms", in_ms(this->stop.requests_end_at() - time)},
+               {"deadline_ms", in_ms(request.deadline - time)}});
+    this->telemetry.count("worksshift_stop_refused_total");
+    if (request.from_vm) {
+        this->respond_not_served(request, "the VM is stopping");
+    } else {
+        this->respond_locally(request, unavailable, "not run: the VM is stopping",
+                              stop_retry_after);
+    }
+    return true;
 }
 
 /** Determines route, account and deadline. If there is no route or the key is unknown, answers the
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -19,6 +19,7 @@
 #include "caller_connections.h"
 #include "crash_suspects.h"
 #include "fleet_retry_budget.h"
+#include "graceful_stop.h"
 #include "live_request.h"
 #include "metrics.h"
 #include "origin_exchange.h"
@@ -49,6 +50,9 @@
  * the process starts; a refused caller would retry only after half a second. */
 constexpr duration first_config_timeout = milliseconds(300);
 
+/** Retry-After of requests that come too late in a shutdown: another VM can take them at once. */
+constexpr duration stop_retry_after = milliseconds(20);
+
 /** Reason for refusing a request of another VM while the slots of its service are divided among the
  * VMs, and this one has none free. */
 constexpr std::string_view no_slot_reason = "no free slot";
@@ -90,6 +94,9 @@
      * servers. */
     void tick(instant now);
     [[nodiscard]] admission& admissions() { return this->admission_control; }
+    /** The shutdown of this VM. */
+    [[nodiscard]] graceful_stop& shutdown() { return this->stop; }
+    [[nodiscard]] const graceful_stop& shutdown() const { return this->stop; }
     /** Requests suspected of crashing servers, as known to this VM. */
     [[nodiscard]] crash_suspects& suspects() { return this->suspect_contents; }
     [[nodiscard]] const crash_suspects& suspects() const { return this->suspect_contents; }
@@ -110,6 +117,7 @@
     void on_request(caller_request incoming);
     void begin(live_request& request);
     bool resolve_route(live_request& request);
+    [[nodiscard]] bool refuse_late(live_request& request);
     void dispatch(live_request& request);
     void on_no_server(live_request& request, const no_server& none);
     [[nodiscard]] static placement_request placement_of(const live_request& request);
@@ -202,6 +210,7 @@
     server_connections& servers;
     server_table& table;
     admission admission_control;
+    graceful_stop stop;
     crash_suspects suspect_contents;
     const protocol& adapter;
     metrics& telemetry;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -14,15 +14,8 @@
 namespace {
 
 constexpr duration tick_period = milliseconds(25);
-/** How long connections are still accepted after a stop request. The platform's load balancer
- * removes a VM after two failed readiness checks one second apart, so callers that it sends until
- * then are served. Accepting for longer risks requests that cannot finish within the grace period:
- * a response of five seconds, accepted after 3.2 s, was cut off. */
-constexpr duration stop_accept_time = milliseconds(2700);
 /** Idle time after the last request during shutdown, so that its last bytes are sent. */
 constexpr duration stop_idle_time = milliseconds(300);
-/** Requests that still run are cut off this long before the end of the grace period. */
-constexpr duration stop_margin = milliseconds(400);
 /** Interval at which the settings file is checked for changes made without a signal. */
 constexpr duration settings_check_period = seconds(1);
 constexpr duration load_sum_period = milliseconds(50);
@@ -95,6 +88,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     raise_file_limit();
     this->path.set_retry_budget(this->options.retries);
+    this->path.shutdown().set_grace(this->options.stop_grace);
     this->apply_placement();
     this->settings_text = read_file(this->options.file);
     this->connect_signals();
@@ -552,7 +546,7 @@
         const router_settings reloaded = this->reload();
         this->options.level = reloaded.level;
         this->options.retries = reloaded.retries;
-        this->options.stop_grace = reloaded.stop_grace;
+        this->path.shutdown().set_grace(reloaded.stop_grace);
         this->gossip.add_seeds(reloaded.seeds);
         set_log_level(reloaded.level);
         this->path.set_retry_budget(reloaded.retries);
@@ -571,19 +565,19 @@
 {
     if (this->stopping) return;
     this->stopping = true;
-    this->stop_since = now();
+    this->path.shutdown().begin(now());
     this->callers.start_closing();
     log_event(log_level::info, "stopping", {{"requests", this->path.active()}});
 }
 
 void router::continue_stop(instant time)
 {
-    const duration elapsed = time - this->stop_since;
-    if (elapsed < stop_accept_time) return;
-    this->callers.stop_listening();
-    const bool idle = this->path.active() == 0 && time - this->path.last_arrival() > stop_idle_time;
-    const bool grace_period_over = elapsed > this->options.stop_grace - stop_margin;
-    if (!idle && !grace_period_over) return;
+    const graceful_stop& shutdown = this->path.shutdown();
+    if (shutdown.accepts_connections(time)) return;
+    this->callers.stop_listening(time);
+    const bool idle = this->path.active() == 0 && this->callers.open_connections() == 0 &&
+                      time - this->path.last_arrival() > stop_idle_time;
+    if (!idle && time < shutdown.requests_end_at()) return;
     if (!idle) {
         log_event(log_level::warn, "stop_cut", {{"requests", this->path.active()}});
         this->exit_status = 1;
--- a/src/router.h
+++ b/src/router.h
@@ -108,7 +108,6 @@
     instant settings_checked_at{};
     bool serving = false; ///< requests are being routed
     bool stopping = false;
-    instant stop_since{};
     int exit_status = 0;
 };
 
--- /dev/null
+++ b/test/correctness/graceful_stop_decides.cpp
@@ -0,0 +1,79 @@
+/** \file
+ * The phases of a shutdown, for the shortest, the usual and the longest grace period that the
+ * settings allow.
+ */
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "graceful_stop.h"
+
+namespace {
+
+using namespace worksshift;
+
+class graceful_stop_decides : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(graceful_stop_decides);
+    CPPUNIT_TEST(serves_everything_before_the_stop);
+    CPPUNIT_TEST(late_requests_must_end_in_time);
+    CPPUNIT_TEST(later_stop_requests_change_nothing);
+    CPPUNIT_TEST(grace_period_may_change);
+    CPPUNIT_TEST_SUITE_END();
+
+    const instant start = instant{} + seconds(1000);
+
+    [[nodiscard]] graceful_stop begun(duration grace) const
+    {
+        graceful_stop stop;
+        stop.set_grace(grace);
+        stop.begin(this->start);
+        return stop;
+    }
+
+public:
+    /** Guards against refusing requests of a VM that is not stopping. */
+    void serves_everything_before_the_stop()
+    {
+        const graceful_stop stop;
+        CPPUNIT_ASSERT(!stop.stopping());
+        CPPUNIT_ASSERT(stop.accepts_connections(this->start));
+        CPPUNIT_ASSERT(stop.serves(this->start, this->start + std::chrono::hours(1)));
+    }
+
+    /** Guards against accepting a request that the end of the stop cuts off, and against refusing
+     * one that ends before. */
+    void late_requests_must_end_in_time()
+    {
+        for (const duration grace : {seconds(4), seconds(8), seconds(3600)}) {
+            const graceful_stop stop = this->begun(grace);
+            const instant late = this->start + graceful_stop::max_accept_time;
+            const instant end = this->start + grace - graceful_stop::end_margin;
+            CPPUNIT_ASSERT(stop.requests_end_at() == end);
+            CPPUNIT_ASSERT(stop.serves(late - milliseconds(1), end + seconds(10)));
+            CPPUNIT_ASSERT(stop.serves(late, end));
+            CPPUNIT_ASSERT(!stop.serves(late, end + milliseconds(1)));
+            CPPUNIT_ASSERT(!stop.accepts_connections(late));
+        }
+    }
+
+    /** Guards against a second signal that prolongs the stop beyond the grace period. */
+    void later_stop_requests_change_nothing()
+    {
+        graceful_stop stop = this->begun(seconds(8));
+        const instant end = stop.requests_end_at();
+        stop.begin(this->start + seconds(3));
+        CPPUNIT_ASSERT(stop.requests_end_at() == end);
+        CPPUNIT_ASSERT(stop.elapsed(this->start + seconds(5)) == seconds(5));
+    }
+
+    /** Guards against settings that are read again during a stop and have no effect. */
+    void grace_period_may_change()
+    {
+        graceful_stop stop = this->begun(seconds(8));
+        stop.set_grace(seconds(6));
+        CPPUNIT_ASSERT(stop.requests_end_at() ==
+                       this->start + seconds(6) - graceful_stop::end_margin);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(graceful_stop_decides);
+
+} // namespace
--- a/test/support/fleet.cpp
+++ b/test/support/fleet.cpp
@@ -127,23 +127,29 @@
     if (this->pid > 0) ::kill(this->pid, number);
 }
 
-bool child::ended()
+int child::wait(int options)
 {
-    if (this->pid <= 0) return true;
     int status = 0;
-    if (waitpid(this->pid, &status, WNOHANG) == 0) return false;
+    if (waitpid(this->pid, &status, options) == 0) return -1;
     this->pid = -1;
-    return true;
+    constexpr int signal_base = 128;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : signal_base + WTERMSIG(status);
+}
+
+bool child::ended()
+{
+    return this->pid <= 0 || this->wait(WNOHANG) >= 0;
+}
+
+std::optional<int> child::exit_status()
+{
+    const int status = this->pid <= 0 ? -1 : this->wait(WNOHANG);
+    return status < 0 ? std::nullopt : std::optional(status);
 }
 
 int child::wait()
 {
-    if (this->pid <= 0) return -1;
-    int status = 0;
-    waitpid(this->pid, &status, 0);
-    this->pid = -1;
-    constexpr int signal_base = 128;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : signal_base + WTERMSIG(status);
+    return this->pid <= 0 ? -1 : this->wait(0);
 }
 
 std::string reply::header(const std::string& name) const
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,10 +37,15 @@
     int wait();
     /** Whether the process has exited; if so, reaps it and clears its id. */
     bool ended();
+    /** As `wait`; std::nullopt if the process is running or its end was seen before. */
+    std::optional<int> exit_status();
     [[nodiscard]] bool running() const { return this->pid > 0; }
     [[nodiscard]] pid_t id() const { return this->pid; }
 
 private:
+    /** \p options: of `waitpid`. Returns -1 if the process is running. */
+    int wait(int options);
+
     pid_t pid = -1;
 };
 
--- a/test/support/path_rig.cpp
+++ b/test/support/path_rig.cpp
@@ -126,6 +126,13 @@
     bufferevent_write(this->open.back()->socket.get(), bytes.data(), bytes.size());
 }
 
+void scripted_server::push_to_all(const std::string& bytes)
+{
+    for (const auto& item : this->open) {
+        if (!item->is_closed) bufferevent_write(item->socket.get(), bytes.data(), bytes.size());
+    }
+}
+
 raw_caller::raw_caller(event_base* base, const link_address& to, int receive_buffer) : base(base)
 {
     const evutil_socket_t descriptor =
@@ -164,6 +171,11 @@
     bufferevent_write(this->socket.get(), bytes.data(), bytes.size());
 }
 
+void raw_caller::send_now(const std::string& bytes) const
+{
+    ::send(bufferevent_getfd(this->socket.get()), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
 void raw_caller::set_reading(bool on)
 {
     if (on) {
--- a/test/support/path_rig.h
+++ b/test/support/path_rig.h
@@ -40,6 +40,8 @@
     [[nodiscard]] worksshift::link_address address() const { return this->listener.address(); }
     /** Sends unsolicited bytes on the newest connection. */
     void push(const std::string& bytes);
+    /** The same on all open connections. */
+    void push_to_all(const std::string& bytes);
     /** Simulates the end of the process: all connections close, and new ones are refused. */
     void end();
 
@@ -73,6 +75,8 @@
     raw_caller& operator=(raw_caller&&) = delete;
 
     void send(const std::string& bytes);
+    /** Sends without the event loop, on a connection that is established. */
+    void send_now(const std::string& bytes) const;
     /** Closes the connection. */
     void leave();
     /** Stops and continues reading. */
--- a/test/support/router_fleet.cpp
+++ b/test/support/router_fleet.cpp
@@ -35,15 +35,16 @@
     for (std::size_t i = 0; i < std::min<std::size_t>(this->routers.size(), 3); ++i)
         seeds += this->address_of(i) + ":1,";
     const auto at = [&own](std::uint16_t port) { return own + ":" + std::to_string(port); };
-    this->routers[router] = child(
-        WORKSSHIFT_BINARY_DIR "/worksshift-router",
-        {"--vm=vm" + std::to_string(router), "--data-centre=dc", "--front=" + at(this->front_port),
-         "--readiness=" + at(this->ready_port), "--peer-address=" + own,
-         "--peer-port=" + std::to_string(this->peer_port),
-         "--relay-port=" + std::to_string(this->relay_port),
-         "--metrics-port=" + std::to_string(this->metrics_port),
-         "--store=" + to_string(this->stores[router]), "--seeds=" + seeds, "--stop-grace-s=8"},
-        "router-" + std::to_string(router));
+    this->routers[router] =
+        child(WORKSSHIFT_BINARY_DIR "/worksshift-router",
+              {"--vm=vm" + std::to_string(router), "--data-centre=dc",
+               "--front=" + at(this->front_port), "--readiness=" + at(this->ready_port),
+               "--peer-address=" + own, "--peer-port=" + std::to_string(this->peer_port),
+               "--relay-port=" + std::to_string(this->relay_port),
+               "--metrics-port=" + std::to_string(this->metrics_port),
+               "--store=" + to_string(this->stores[router]), "--seeds=" + seeds,
+               "--stop-grace-s=" + std::to_string(this->stop_grace_s)},
+              "router-" + std::to_string(router));
 }
 
 void router_fleet::start_all()
--- a/test/support/router_fleet.h
+++ b/test/support/router_fleet.h
@@ -57,6 +57,7 @@
 
     worksshift::event_ptr<event_base> base;
     std::unique_ptr<fakes::fake_store> store;
+    unsigned stop_grace_s = 8; ///< of routers that are started from now on
     std::vector<child> routers;
     std::vector<std::unique_ptr<scripted_server>> servers;
 
--- a/test/support/vm_group.cpp
+++ b/test/support/vm_group.cpp
@@ -168,7 +168,7 @@
 
 void vm_group::stop_listening(std::size_t vm)
 {
-    this->vms[vm]->callers.stop_listening();
+    this->vms[vm]->callers.stop_listening(std::chrono::steady_clock::now());
 }
 
 void vm_group::end_server(std::size_t server)
