A stop accepts connections for half of a short grace period at most

What callers saw: with a grace period of less than 2.7 s, which the settings allow, a VM accepted connections until it was killed, and all requests then in progress were cut off.

Cause: the time for which a stop accepts connections was a constant; nothing else of the stop was done before it was over.

Change: half of the time until requests are cut off is the upper limit of that time. At 8 s it stays 2.7 s.

Measured: correctness/requests_during_a_planned_stop, case shortest_grace_period, failed before (the process ran until it was killed) and passes: it exits by itself within a grace period of 1 s.

--- a/src/graceful_stop.cpp
+++ b/src/graceful_stop.cpp
@@ -1,5 +1,7 @@
 #include "graceful_stop.h"
 
+#include <algorithm>
+
 namespace worksshift {
 
 void graceful_stop::begin(instant now)
@@ -9,7 +11,10 @@
 
 bool graceful_stop::accepts_connections(instant now) const
 {
-    return this->elapsed(now) < max_accept_time;
+    if (!this->stopping()) return true;
+    // In a short grace period, half of the time is left for the requests that were accepted.
+    const duration serving_time = this->requests_end_at() - this->began_at;
+    return this->elapsed(now) < std::min(max_accept_time, serving_time / 2);
 }
 
 bool graceful_stop::serves(instant now, instant deadline) const
--- a/test/correctness/graceful_stop_decides.cpp
+++ b/test/correctness/graceful_stop_decides.cpp
@@ -38,13 +38,20 @@
         CPPUNIT_ASSERT(stop.serves(this->start, this->start + std::chrono::hours(1)));
     }
 
-    /** Guards against accepting a request that the end of the stop cuts off, and against refusing
-     * one that ends before. */
+    /** Guards against accepting a request that the end of the stop cuts off, against refusing one
+     * that ends before, and against accepting connections until the process is killed. */
     void late_requests_must_end_in_time()
     {
-        for (const duration grace : {seconds(4), seconds(8), seconds(3600)}) {
+        struct expected {
+            duration grace;
+            duration accept_time;
+        };
+        for (const auto& [grace, accept_time] :
+             {expected{seconds(1), milliseconds(300)}, expected{seconds(4), milliseconds(1800)},
+              expected{seconds(8), milliseconds(2700)},
+              expected{seconds(3600), milliseconds(2700)}}) {
             const graceful_stop stop = this->begun(grace);
-            const instant late = this->start + graceful_stop::max_accept_time;
+            const instant late = this->start + accept_time;
             const instant end = this->start + grace - graceful_stop::end_margin;
             CPPUNIT_ASSERT(stop.requests_end_at() == end);
             CPPUNIT_ASSERT(stop.serves(late - milliseconds(1), end + seconds(10)));
--- a/test/correctness/requests_during_a_planned_stop.cpp
+++ b/test/correctness/requests_during_a_planned_stop.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST_SUITE(requests_during_a_planned_stop);
     CPPUNIT_TEST(sent_behind_a_stream_that_began_before);
     CPPUNIT_TEST(further_signals);
+    CPPUNIT_TEST(shortest_grace_period);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<router_fleet> fleet;
@@ -32,6 +33,8 @@
         return {response_text(200, request, header_in(request, "x-request-id")), then::keep};
     }
 
+    static scripted_response silent(const std::string&) { return {"", then::stay_silent}; }
+
     /** A stream of which the test pushes all but the first event. */
     static scripted_response first_event(const std::string& request)
     {
@@ -153,6 +156,19 @@
         CPPUNIT_ASSERT(this->exits_within(begun + seconds(5) - std::chrono::steady_clock::now()) ==
                        0);
     }
+
+    /** Guards against a process that is killed because its grace period is shorter than the time
+     * for which connections are accepted. */
+    void shortest_grace_period()
+    {
+        this->start(1, silent);
+        const auto caller = this->fleet->connect(0);
+        caller->send(patient_request("POST", "/unsafe/x", "1", "{}"));
+        CPPUNIT_ASSERT(this->fleet->run_until(
+            [&] { return !this->fleet->servers[0]->requests.empty(); }, seconds(1)));
+        this->fleet->routers[0].signal(SIGTERM);
+        CPPUNIT_ASSERT(this->exits_within(seconds(1)) == 1);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(requests_during_a_planned_stop);
