Requests in progress at the end of a stop get an answer

What callers saw: when the grace period of a stop was over, the connections of all requests in progress closed without a response, also of those that had reached no server, and of requests read in part.

Cause: the router left its loop; nothing ended the requests before.

Change: 0.4 s before the end of the grace period each request ends as at its deadline: 502 if it may have run, 503 "not run" if not; a stream that has begun is broken off. Requests read in part are refused. The process then waits for its last bytes to be sent, until 0.15 s before the end.

Measured: correctness/requests_during_a_planned_stop, case unfinished_at_the_end_of_the_grace_period, failed before (no response at all) and passes.

--- a/src/caller_connections.cpp
+++ b/src/caller_connections.cpp
@@ -603,4 +603,15 @@
     }
 }
 
+void caller_connections::refuse_incomplete()
+{
+    for (const auto& [id, connection] : this->connections) {
+        const bool incomplete = connection->current_stage == connection_state::stage::reading &&
+                                !connection->reader.idle();
+        if (!incomplete) continue;
+        this->refuse(*connection, unavailable, "not run: the VM is stopping",
+                     connection->from_vm ? relay_refused_header : std::string_view{});
+    }
+}
+
 } // namespace worksshift
--- a/src/caller_connections.h
+++ b/src/caller_connections.h
@@ -96,6 +96,8 @@
     /** Stops accepting connections, and closes those on which no request is coming in. To be called
      * regularly from then on: connections whose response did not announce it close later. */
     void stop_listening(instant now);
+    /** Refuses requests of which a part has arrived. */
+    void refuse_incomplete();
 
     [[nodiscard]] std::size_t open_connections() const { return this->connections.size(); }
 
--- a/src/graceful_stop.cpp
+++ b/src/graceful_stop.cpp
@@ -32,4 +32,9 @@
     return this->began_at + this->grace - end_margin;
 }
 
+instant graceful_stop::exit_at() const
+{
+    return this->began_at + this->grace - exit_margin;
+}
+
 } // namespace worksshift
--- a/src/graceful_stop.h
+++ b/src/graceful_stop.h
@@ -22,8 +22,11 @@
      * cannot finish within the grace period: a response of five seconds, accepted after 3.2 s, was
      * cut off. */
     static constexpr duration max_accept_time = milliseconds(2700);
-    /** Requests in progress are cut off this long before the end of the grace period. */
+    /** Requests in progress are ended this long before the end of the grace period. */
     static constexpr duration end_margin = milliseconds(400);
+    /** The process exits this long before it would be killed. Between the two margins, callers
+     * read the last responses. */
+    static constexpr duration exit_margin = milliseconds(150);
 
     /** \p span: from the stop request until the process is killed. */
     void set_grace(duration span) { this->grace = span; }
@@ -35,8 +38,10 @@
     [[nodiscard]] bool serves(instant now, instant deadline) const;
     /** How long the shutdown has lasted; zero if none has begun. */
     [[nodiscard]] duration elapsed(instant now) const;
-    /** When requests that are still in progress are cut off. */
+    /** When requests that are still in progress are ended. */
     [[nodiscard]] instant requests_end_at() const;
+    /** When the process exits at the latest. */
+    [[nodiscard]] instant exit_at() const;
 
 private:
     duration grace = seconds(8);
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -114,7 +114,6 @@
     live_request& request = *owned;
     request.id = incoming.id;
     request.arrived_at = now();
-    this->last_arrival_at = request.arrived_at;
     request.metadata = this->adapter.decode_request(incoming.head);
     for (const std::string_view name : request.metadata.ignored_headers) {
         this->telemetry.count("worksshift_ignored_headers_total{header=\"" + std::string(name) +
@@ -255,13 +254,7 @@
     }
     for (live_request* request : found) {
         ++request->runs;
-        this->cancel_relay(*request, relay_result::unknown);
-        if (request->row != nullptr) {
-            request->row->health.on_neutral();
-            this->servers.cancel(request->attempt);
-            this->table.on_given_up(*request->row, request->deadline, time);
-            this->release(*request);
-        }
+        this->cancel_attempt(*request, time);
         this->fail(*request, "blocked", "servers ended under it");
     }
 }
@@ -692,6 +685,17 @@
     this->release(request);
 }
 
+/** Cancels the current attempt, if there is one, for a reason that is not its server's. */
+void request_path::cancel_attempt(live_request& request, instant time)
+{
+    this->cancel_relay(request, relay_result::unknown);
+    if (request.row == nullptr) return;
+    request.row->health.on_neutral();
+    this->servers.cancel(request.attempt);
+    this->table.on_given_up(*request.row, request.deadline, time);
+    this->release(request);
+}
+
 void request_path::finish_answer(live_request& request)
 {
     // Callers take these statuses to mean "not run", which the server did not state.
@@ -844,13 +848,7 @@
         this->resume_attempt(request);
         return;
     }
-    if (request.row != nullptr) {
-        request.row->health.on_neutral();
-        this->servers.cancel(request.attempt);
-        this->table.on_given_up(*request.row, request.deadline, now());
-        this->release(request);
-    }
-    this->cancel_relay(request, relay_result::unknown);
+    this->cancel_attempt(request, now());
     this->end(request, "caller_gone", 0);
 }
 
@@ -941,19 +939,39 @@
     this->check_reach(time);
     if (this->suspect_contents.take_newly_blocked()) this->cancel_blocked(time);
     this->origins.tick(time);
-    // A response can admit the next request on its connection, so `requests` may change during the
-    // loop.
+    for (live_request* request : this->requests_in_progress()) {
+        if (time >= request->deadline) {
+            this->on_deadline(*request);
+        } else {
+            this->check_silence(*request, time);
+        }
+    }
+}
+
+/** A copy, since a response can admit the next request on its connection. */
+std::vector<live_request*> request_path::requests_in_progress() const
+{
     std::vector<live_request*> current;
     for (const auto& [id, request] : this->requests) {
         if (!request->ended) current.push_back(request.get());
     }
+    return current;
+}
+
+std::size_t request_path::end_requests()
+{
+    const std::vector<live_request*> current = this->requests_in_progress();
     for (live_request* request : current) {
-        if (time >= request->deadline) {
-            this->on_deadline(*request);
-        } else {
-            this->check_silence(*request, time);
+        if (request->config == nullptr) {
+            this->respond_locally(*request, unavailable, "no configuration yet",
+                                  no_config_retry_after);
+            continue;
         }
+        if (request->row != nullptr || request->relay_vm) ++request->runs;
+        this->cancel_attempt(*request, now());
+        this->fail(*request, "stop", "the grace period is over");
     }
+    return current.size();
 }
 
 void request_path::log_attempt(const live_request& request, std::string_view outcome,
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -110,8 +110,9 @@
     /** Whether this VM is the one that makes trial sends of the blocked content. */
     std::function<bool(content_key)> is_trial_vm = [](content_key) { return false; };
     [[nodiscard]] std::size_t active() const { return this->requests.size(); }
-    /** When the latest request arrived; the epoch if none has. */
-    [[nodiscard]] instant last_arrival() const { return this->last_arrival_at; }
+    /** Ends all requests, as the process is about to exit: callers learn that theirs was not run,
+     * or that its response is lost. Returns their number. */
+    std::size_t end_requests();
 
 private:
     void on_request(caller_request incoming);
@@ -144,6 +145,8 @@
     void on_attempt_end(const attempt_outcome& end);
     void record_outcome(const live_request& request, const attempt_outcome& end, instant time);
     void abandon_silent_attempt(live_request& request, instant time);
+    void cancel_attempt(live_request& request, instant time);
+    [[nodiscard]] std::vector<live_request*> requests_in_progress() const;
     void finish_answer(live_request& request);
     void send_answer(live_request& request);
     void on_refused_attempt(live_request& request, const attempt_outcome& end);
@@ -224,7 +227,6 @@
     origin_exchange origins;
     /** Requests that wait for the version that began their stream. */
     std::multimap<stream_key, std::uint64_t> awaiting_version;
-    instant last_arrival_at{};
     server_connections* relay_connections = nullptr; ///< to other VMs; nullptr: no relaying
     std::uint16_t relay_port = 0;
     relay_selection relay_vms;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -14,8 +14,6 @@
 namespace {
 
 constexpr duration tick_period = milliseconds(25);
-/** Idle time after the last request during shutdown, so that its last bytes are sent. */
-constexpr duration stop_idle_time = milliseconds(300);
 /** Interval at which the settings file is checked for changes made without a signal. */
 constexpr duration settings_check_period = seconds(1);
 constexpr duration load_sum_period = milliseconds(50);
@@ -575,14 +573,27 @@
     const graceful_stop& shutdown = this->path.shutdown();
     if (shutdown.accepts_connections(time)) return;
     this->callers.stop_listening(time);
-    const bool idle = this->path.active() == 0 && this->callers.open_connections() == 0 &&
-                      time - this->path.last_arrival() > stop_idle_time;
-    if (!idle && time < shutdown.requests_end_at()) return;
-    if (!idle) {
-        log_event(log_level::warn, "stop_cut", {{"requests", this->path.active()}});
+    if (time >= shutdown.requests_end_at()) this->end_requests();
+    const bool idle = this->path.active() == 0 && this->callers.open_connections() == 0;
+    if (!idle && time < shutdown.exit_at()) return;
+    if (const std::size_t unsent = this->callers.buffered_output().bytes; unsent > 0) {
+        log_event(log_level::warn, "stop_cut",
+                  {{"requests", 0},
+                   {"clients", this->callers.buffered_output().clients},
+                   {"unsent_bytes", unsent}});
         this->exit_status = 1;
     }
     event_base_loopbreak(this->base.get());
 }
 
+/** Answers what is still in progress when the grace period is nearly over. */
+void router::end_requests()
+{
+    this->callers.refuse_incomplete();
+    const std::size_t ended = this->path.end_requests();
+    if (ended == 0) return;
+    log_event(log_level::warn, "stop_cut", {{"requests", ended}});
+    this->exit_status = 1;
+}
+
 } // namespace worksshift
--- a/src/router.h
+++ b/src/router.h
@@ -70,6 +70,7 @@
     void reload_settings(std::string_view cause);
     void stop();
     void continue_stop(instant now);
+    void end_requests();
 
     router_settings options;
     const protocol& adapter;
--- a/test/correctness/requests_during_a_planned_stop.cpp
+++ b/test/correctness/requests_during_a_planned_stop.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(sent_behind_a_stream_that_began_before);
     CPPUNIT_TEST(further_signals);
     CPPUNIT_TEST(shortest_grace_period);
+    CPPUNIT_TEST(unfinished_at_the_end_of_the_grace_period);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<router_fleet> fleet;
@@ -168,6 +169,37 @@
             [&] { return !this->fleet->servers[0]->requests.empty(); }, seconds(1)));
         this->fleet->routers[0].signal(SIGTERM);
         CPPUNIT_ASSERT(this->exits_within(seconds(1)) == 1);
+        CPPUNIT_ASSERT_EQUAL(502, status_in(caller->received));
+        CPPUNIT_ASSERT(is_complete(caller));
+    }
+
+    /** Guards against connections that close without a response when the grace period is over, and
+     * against a stream that ends then as if it were complete. */
+    void unfinished_at_the_end_of_the_grace_period()
+    {
+        this->start(3, silent);
+        const auto stream = this->begin_streams(1);
+        const auto once = this->fleet->connect(0);
+        once->send(patient_request("POST", "/unsafe/x", "1", "{}"));
+        const auto repeatable = this->fleet->connect(0);
+        repeatable->send(patient_request("GET", "/safe/x", "2"));
+        const auto partial = this->fleet->connect(0);
+        const std::string text = patient_request("POST", "/unsafe/x", "3", "{}");
+        partial->send(text.substr(0, text.size() - 1));
+        CPPUNIT_ASSERT(this->fleet->run_until(
+            [&] { return this->fleet->servers[0]->requests.size() == 2; }, seconds(1)));
+        this->fleet->routers[0].signal(SIGTERM);
+        CPPUNIT_ASSERT(this->exits_within(seconds(3)) == 1);
+        CPPUNIT_ASSERT_EQUAL(502, status_in(once->received));
+        CPPUNIT_ASSERT_EQUAL(502, status_in(repeatable->received));
+        CPPUNIT_ASSERT_EQUAL(503, status_in(partial->received));
+        for (const auto* caller : {&once, &repeatable, &partial}) {
+            CPPUNIT_ASSERT(is_complete(*caller));
+            CPPUNIT_ASSERT_EQUAL(std::string("close"),
+                                 header_in((*caller)->received, "connection"));
+        }
+        CPPUNIT_ASSERT(stream[0]->closed);
+        CPPUNIT_ASSERT(!is_complete(stream[0]));
     }
 };
 
