Test of a stop under a client that reads slowly

Cause: the router exited once no request was in progress, and a request ends when its server's answer is complete, not when its client has got it.

--- a/test/correctness/requests_during_a_planned_stop.cpp
+++ b/test/correctness/requests_during_a_planned_stop.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(further_signals);
     CPPUNIT_TEST(shortest_grace_period);
     CPPUNIT_TEST(unfinished_at_the_end_of_the_grace_period);
+    CPPUNIT_TEST(client_that_reads_slowly);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<router_fleet> fleet;
@@ -201,6 +202,23 @@
         CPPUNIT_ASSERT(stream[0]->closed);
         CPPUNIT_ASSERT(!is_complete(stream[0]));
     }
+
+    /** Guards against a process that exits while a part of a complete response is in its buffer. */
+    void client_that_reads_slowly()
+    {
+        constexpr std::size_t body_bytes = 60'000;
+        this->start(8, [](const std::string& request) -> scripted_response {
+            return {response_text(200, request, std::string(body_bytes, 'x')), then::keep};
+        });
+        const auto caller = this->fleet->connect(0, 4096);
+        caller->read_slowly(1000, milliseconds(100));
+        caller->send(patient_request("POST", "/unsafe/x", "1", "{}"));
+        this->run_for(milliseconds(500));
+        this->fleet->routers[0].signal(SIGTERM);
+        this->fleet->run_until([&] { return caller->closed; }, seconds(8));
+        CPPUNIT_ASSERT_EQUAL(body_bytes, body_in(caller->received).size());
+        CPPUNIT_ASSERT(this->exits_within(seconds(2)) == 0);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(requests_during_a_planned_stop);
--- a/test/support/router_fleet.h
+++ b/test/support/router_fleet.h
@@ -42,7 +42,8 @@
     void remove_server(const std::string& id) { this->store->remove("servers", id); }
     void set_config(const std::string& document) { this->store->put("config", "main", document); }
 
-    std::unique_ptr<raw_caller> connect(std::size_t router);
+    /** \p receive_buffer: see `raw_caller`. */
+    std::unique_ptr<raw_caller> connect(std::size_t router, int receive_buffer = 0);
     /** Sends one request and returns all bytes received until the response was complete, the
      * connection was closed, or five seconds passed. */
     std::string ask(std::size_t router, const std::string& text);
