A VM that has just started does not guess the version of a stream

Cause: for callers who do not name their stream a VM used the only version that it saw. It recorded when it last saw several; that it had never seen any, because it had just started or because the last server of the old version left before the first of the new one came, counted as there having been one.

Ruled out, each by a test that passed before: a guess for named streams (they are refused when no VM knows them) and two records of one origin.

Change: version_history keeps since when a version has been the only one. Unnamed streams go on only if that is as long as streams can be taken up, or if the fleet starts for the first time, which the new setting first-start says.

--- a/src/router.cpp
+++ b/src/router.cpp
@@ -87,6 +87,7 @@
     raise_file_limit();
     this->path.set_retry_budget(this->options.retries);
     this->path.shutdown().set_grace(this->options.stop_grace);
+    this->servers.fleet_is_new = this->options.first_start;
     this->apply_placement();
     this->settings_text = read_file(this->options.file);
     this->connect_signals();
--- a/src/router_settings.cpp
+++ b/src/router_settings.cpp
@@ -112,6 +112,9 @@
         "log lines per second at level info and below, 10 to 100000");
     add("stop-grace-s", text_with_default("8"),
         "seconds from SIGTERM until the process is killed, 1 to 3600");
+    add("first-start", text_with_default("false"),
+        "whether the whole fleet starts for the first time, so that no stream can have begun "
+        "before: true or false");
     add("retry-ratio", text_with_default("0.2"), "retries per request to a service, 0 to 1");
     add("retry-window-s", text_with_default("10"),
         "seconds over which retries are counted, 1 to 3600");
@@ -157,6 +160,16 @@
         return value;
     }
 
+    [[nodiscard]] bool flag(const char* name) const
+    {
+        const std::string text = this->text(name);
+        if (text != "true" && text != "false") {
+            throw user_error("settings", "",
+                             std::string(name) + '=' + text + " is neither true nor false");
+        }
+        return text == "true";
+    }
+
     [[nodiscard]] std::vector<link_address> addresses(const char* name) const
     {
         std::vector<link_address> found;
@@ -224,6 +237,7 @@
     result.log_lines_per_s = static_cast<std::size_t>(
         reader.number("log-lines-per-s", min_log_lines_per_s, max_log_lines_per_s));
     result.stop_grace = to_duration(reader.number("stop-grace-s", 1, max_span_s));
+    result.first_start = reader.flag("first-start");
     result.retries.ratio = reader.number("retry-ratio", 0, 1);
     result.retries.window = to_duration(reader.number("retry-window-s", 1, max_span_s));
     result.retries.slack = reader.number("retry-slack", 0, max_slack);
--- a/src/router_settings.h
+++ b/src/router_settings.h
@@ -33,6 +33,8 @@
     log_level level = log_level::info;
     std::size_t log_lines_per_s = log_limits{}.lines_per_s;
     duration stop_grace = seconds(8); ///< from SIGTERM until the process is killed
+    /** The whole fleet starts for the first time; false at each later start. */
+    bool first_start = false;
     fleet_retry_settings retries;
     placement_policy placement;
     std::string file;        ///< path of the settings file; empty: none
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -392,7 +392,7 @@
 {
     this->notices.expire_backoffs(now);
     for (auto& [service, group] : this->services) {
-        if (versions_differ(group)) group.versions_differed_at = now;
+        this->observe_versions(group, now);
         std::erase_if(group.rows, [](const server_entry* row) { return row->is_removable(); });
     }
     std::erase_if(this->by_short_hash,
@@ -403,24 +403,22 @@
     std::erase_if(this->retired, [](const auto& node) { return node.mapped().is_removable(); });
 }
 
-bool server_table::versions_differ(const service_state& group)
+void server_table::observe_versions(service_state& group, instant now) const
 {
-    const auto differs = [&](const server_entry* row) {
-        return row->software != group.rows.front()->software;
-    };
-    return std::ranges::any_of(group.rows, differs);
+    const instant known_since = this->fleet_is_new ? now - stream_origins::lifetime : now;
+    for (const server_entry* row : group.rows)
+        group.versions.observe(row->software, known_since, now);
 }
 
 std::optional<software_version> server_table::only_version(const service_id& service,
                                                            instant now) const
 {
     const auto found = this->services.find(service);
-    if (found == this->services.end() || found->second.rows.empty()) return std::nullopt;
+    if (found == this->services.end()) return std::nullopt;
     const service_state& group = found->second;
-    const bool differed_recently = group.versions_differed_at != instant{} &&
-                                   now - group.versions_differed_at <= stream_origins::lifetime;
-    if (differed_recently || versions_differ(group)) return std::nullopt;
-    return group.rows.front()->software;
+    const auto only = group.versions.only_since(now - stream_origins::lifetime);
+    const auto differs = [&](const server_entry* row) { return row->software != only; };
+    return std::ranges::any_of(group.rows, differs) ? std::nullopt : only;
 }
 
 service_load server_table::load_of(const service_id& service) const
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -31,6 +31,7 @@
 #include "service_reach.h"
 #include "slot_forecast.h"
 #include "stream_origins.h"
+#include "version_history.h"
 
 namespace worksshift {
 
@@ -200,8 +201,9 @@
     [[nodiscard]] server_entry* find(const server_id& id);
     /** nullptr if the incarnation is unknown or no longer the current one of its server. */
     [[nodiscard]] server_entry* find(server_incarnation incarnation);
-    /** The version of the software of all servers of the service that are known or were in the last
-     * minute; std::nullopt if there are several. */
+    /** The version of the software that all servers of the service have had for as long as streams
+     * can be taken up; std::nullopt if there were several, or if this VM has not known the service
+     * for so long. */
     [[nodiscard]] std::optional<software_version> only_version(const service_id& service,
                                                                instant now) const;
     /** Whether a server that seems healthy accepts the request now. */
@@ -275,6 +277,8 @@
      * periods. */
     void sweep(instant now = {});
 
+    /** The whole fleet starts for the first time, so that no stream can have begun before. */
+    bool fleet_is_new = false;
     /** When the loads reported by the other VMs were last summed up. */
     instant peers_summed_at{};
 
@@ -329,7 +333,7 @@
         std::size_t vms = 1;                    ///< of the fleet
         std::size_t reporting_vms = 1;          ///< whose rejections are known
         service_load sum;
-        instant versions_differed_at{}; ///< its servers last had several versions; the epoch: never
+        version_history versions;
         service_traits traits;
         duration objective{}; ///< time to the first event, shortest of its routes; zero: none
 
@@ -373,7 +377,7 @@
     void update_cold_shares(service_state& group, const fleet_members& members, instant now);
     void mark_failing(service_state& group, const fleet_members& members, instant now);
     void set_failing(server_entry& row, bool failing, instant now);
-    static bool versions_differ(const service_state& group);
+    void observe_versions(service_state& group, instant now) const;
 
     /** Moves the row of a previous incarnation from the table to `retired`. */
     void retire(server_entry& row);
--- a/test/error/router_settings_validation.cpp
+++ b/test/error/router_settings_validation.cpp
@@ -44,8 +44,9 @@
     /** Guards against accepting a parameter that is out of range or not a number. */
     static void out_of_range_parameters()
     {
-        for (const char* invalid : {"--free-share=-1", "--hot-prompt-share=much",
-                                    "--load-spread=1e9", "--retry-ratio=nan", "--busy-from=nan"}) {
+        for (const char* invalid :
+             {"--free-share=-1", "--hot-prompt-share=much", "--load-spread=1e9",
+              "--retry-ratio=nan", "--busy-from=nan", "--first-start=yes"}) {
             try {
                 parse({invalid});
                 CPPUNIT_FAIL(invalid);
--- a/test/error/streams_of_two_software_versions.cpp
+++ b/test/error/streams_of_two_software_versions.cpp
@@ -39,6 +39,10 @@
     CPPUNIT_TEST(half_of_the_vms_are_killed);
     CPPUNIT_TEST(unknown_stream_is_refused);
     CPPUNIT_TEST(caller_that_names_no_stream);
+    CPPUNIT_TEST(unnamed_stream_at_a_vm_that_has_just_started);
+    CPPUNIT_TEST(unnamed_stream_after_the_last_server_of_its_version);
+    CPPUNIT_TEST(unnamed_stream_of_a_new_fleet);
+    CPPUNIT_TEST(named_stream_after_all_vms_restarted);
     CPPUNIT_TEST(relayed_stream_is_resumed);
     CPPUNIT_TEST(caller_resumes_a_relayed_stream);
     CPPUNIT_TEST_SUITE_END();
@@ -106,6 +110,27 @@
         }
     }
 
+    /** The VM has known its servers for longer than streams can be taken up. */
+    void let_a_minute_pass()
+    {
+        const instant now = std::chrono::steady_clock::now();
+        this->rig->table.sweep(now - stream_origins::lifetime - seconds(1));
+    }
+
+    /** Takes up a stream without naming it; returns when the response has ended. */
+    const raw_caller& resume_unnamed(const std::string& id)
+    {
+        raw_caller& caller = this->rig->add_caller();
+        caller.send(resumption(id, ""));
+        CPPUNIT_ASSERT(this->rig->run_until([&] { return has_ended(&caller); }));
+        return caller;
+    }
+
+    static bool is_refused(const raw_caller& caller)
+    {
+        return caller.received.starts_with("HTTP/1.1 503");
+    }
+
 public:
     void setUp() override
     {
@@ -234,15 +259,60 @@
     void caller_that_names_no_stream()
     {
         this->rig->add_server("a", "llm", completes_streams("v1"), "v1");
-        raw_caller& first = this->rig->add_caller();
-        first.send(resumption("1", ""));
-        CPPUNIT_ASSERT(this->rig->run_until([&] { return has_ended(&first); }));
-        CPPUNIT_ASSERT(is_complete(first));
+        this->let_a_minute_pass();
+        CPPUNIT_ASSERT(is_complete(this->resume_unnamed("1")));
         this->rig->add_server("b", "llm", completes_streams("v2"), "v2");
-        raw_caller& second = this->rig->add_caller();
-        second.send(resumption("2", ""));
-        CPPUNIT_ASSERT(this->rig->run_until([&] { return has_ended(&second); }));
-        CPPUNIT_ASSERT(second.received.starts_with("HTTP/1.1 503"));
+        CPPUNIT_ASSERT(is_refused(this->resume_unnamed("2")));
+    }
+
+    /** Guards against a VM that takes the only version it has seen since its start for the one that
+     * began a stream before. */
+    void unnamed_stream_at_a_vm_that_has_just_started()
+    {
+        const scripted_server& server =
+            this->rig->add_server("b", "llm", completes_streams("v2"), "v2");
+        this->rig->table.sweep(std::chrono::steady_clock::now());
+        CPPUNIT_ASSERT(is_refused(this->resume_unnamed("1")));
+        CPPUNIT_ASSERT(server.requests.empty());
+    }
+
+    /** Guards against a VM that forgets a version with its last server. */
+    void unnamed_stream_after_the_last_server_of_its_version()
+    {
+        this->rig->add_server("a", "llm", completes_streams("v1"), "v1");
+        this->let_a_minute_pass();
+        this->rig->table.remove({"a"});
+        this->rig->table.sweep(std::chrono::steady_clock::now());
+        const scripted_server& server =
+            this->rig->add_server("b", "llm", completes_streams("v2"), "v2");
+        this->rig->table.sweep(std::chrono::steady_clock::now());
+        CPPUNIT_ASSERT(is_refused(this->resume_unnamed("1")));
+        CPPUNIT_ASSERT(server.requests.empty());
+    }
+
+    /** Guards against refusing streams although none can have begun before the fleet's start. */
+    void unnamed_stream_of_a_new_fleet()
+    {
+        this->rig->table.fleet_is_new = true;
+        this->rig->add_server("a", "llm", completes_streams("v1"), "v1");
+        this->rig->table.sweep(std::chrono::steady_clock::now());
+        CPPUNIT_ASSERT(is_complete(this->resume_unnamed("1")));
+        this->rig->add_server("b", "llm", completes_streams("v2"), "v2");
+        CPPUNIT_ASSERT(is_refused(this->resume_unnamed("2")));
+    }
+
+    /** Guards against a guess when no VM that knew the stream is left. */
+    void named_stream_after_all_vms_restarted()
+    {
+        vm_group group(3);
+        const scripted_server& server = group.add_server("b", "llm", completes_streams("v2"), "v2");
+        for (std::size_t vm = 0; vm < group.size(); ++vm) {
+            raw_caller& caller = group.add_caller(vm);
+            caller.send(resumption("again" + std::to_string(vm), "began-before"));
+            CPPUNIT_ASSERT(group.run_until([&] { return has_ended(&caller); }));
+            CPPUNIT_ASSERT(is_refused(caller));
+        }
+        CPPUNIT_ASSERT(server.requests.empty());
     }
 
     /** Guards against joining events of two versions when the stream passes a second VM. */
