Soak: long streams, callers that send at once, and seeds with planned work only

The soak missed requests that a stop cuts off: its streams lasted 0.3 s, and faults every 0.2 s left few stops undisturbed. Two callers for each router now send streams of up to 7 s and short requests one after the other on a kept connection, and every third seed has planned work only (stops, reloads, configurations, servers that leave). A response that a stop cuts off is excused only as the platform's rules say: sent within 3 s of the first stop request, cut in the last sixth of the grace period.

Other seeds draw the same faults as before.

--- a/test/soak/guarantee_checker.cpp
+++ b/test/soak/guarantee_checker.cpp
@@ -20,7 +20,7 @@
  * flight when it came into force may still be handled by the one before. */
 constexpr duration rollback_slack = milliseconds(250);
 /** Time for which requests are retained, so that a run after the response is detected. */
-constexpr duration request_retention = seconds(10);
+constexpr duration request_retention = seconds(15);
 constexpr int unauthorized = 401;
 constexpr int ok = 200;
 
@@ -42,6 +42,13 @@
     return all;
 }
 
+const route_properties& long_stream_route()
+{
+    static const route_properties route{
+        "/long/x", "POST", "llm", 1, true, false, milliseconds(9000), milliseconds(9000)};
+    return route;
+}
+
 std::string complete_body(const route_properties& route, const std::string& id,
                           const std::string& version, unsigned after)
 {
@@ -142,8 +149,7 @@
     if (!header_in(request, "x-api-key").empty())
         this->report("the API key was forwarded", sent_request);
     const std::string left = header_in(request, "x-deadline-ms");
-    constexpr int sent_deadline_ms = 2000;
-    if (left.empty() || std::stoi(left) > sent_deadline_ms)
+    if (left.empty() || milliseconds(std::stoi(left)) > sent_request.route->deadline)
         this->report("the deadline is missing or longer than sent", sent_request);
     const bool has_body = sent_request.route->method == "POST";
     if (has_body && body_in(request) != "{}")
@@ -267,13 +273,22 @@
     });
 }
 
+bool guarantee_checker::may_be_cut_by_stop(const asked_request& sent_request, instant now) const
+{
+    const instant stopped = this->incarnations[sent_request.router].stopped;
+    return stopped != instant{} && sent_request.sent <= stopped + early_in_a_stop &&
+           now >= stopped + stop_may_cut_after;
+}
+
 /** A correct server ran the request, and the caller got no complete response. */
 void guarantee_checker::check_lost(const asked_request& sent_request, instant now)
 {
     if (sent_request.complete || sent_request.left != instant{} ||
         sent_request.successful_runs == 0)
         return;
-    if (now - sent_request.sent >= timeout || !this->is_undisturbed(sent_request, false)) return;
+    if (now - sent_request.sent >= sent_request.route->timeout ||
+        !this->is_undisturbed(sent_request, false) || this->may_be_cut_by_stop(sent_request, now))
+        return;
     if (!this->had_server_fault(sent_request, now) &&
         sent_request.runs == sent_request.successful_runs)
         this->report("the response was cut off", sent_request);
@@ -308,7 +323,7 @@
     if (sent_request.status == ok && sent_request.complete) ++this->served;
     this->check_lost(sent_request, now);
     this->check_key(sent_request);
-    const bool late = now - sent_request.sent > timeout + response_slack;
+    const bool late = now - sent_request.sent > sent_request.route->timeout + response_slack;
     if (late && this->is_undisturbed(sent_request, true))
         this->report("no response in time", sent_request);
 }
--- a/test/soak/guarantee_checker.h
+++ b/test/soak/guarantee_checker.h
@@ -23,9 +23,13 @@
     unsigned attempts; ///< maximum number of runs of a request
     bool stream;
     bool repeatable; ///< may be run again at another server
+    worksshift::milliseconds timeout{1500};
+    worksshift::milliseconds deadline{2000}; ///< that its callers state
 };
 
 const std::vector<route_properties>& routes();
+/** Streams that last for seconds, so that they outlast most of a stop. */
+const route_properties& long_stream_route();
 
 /** Versions of the servers' software. */
 inline const std::vector<std::string> software_versions{"v1", "v2"};
@@ -74,11 +78,13 @@
     static constexpr worksshift::duration max_propagation_time = worksshift::milliseconds(2000);
     /** A router must keep guarantees with a deadline once it had no fault for this time. */
     static constexpr worksshift::duration min_undisturbed_time = worksshift::milliseconds(3000);
-    /** Timeout of the routes, and the further time in which the response must reach the caller. */
-    static constexpr worksshift::duration timeout = worksshift::milliseconds(1500);
+    /** Time after a route's timeout in which the response must reach the caller. */
     static constexpr worksshift::duration response_slack = worksshift::milliseconds(700);
     /** Time after a caller leaves in which the run of its request must be cancelled. */
     static constexpr worksshift::duration max_cancel_delay = worksshift::milliseconds(800);
+    /** A stop may cut a request off from this time on, if it was sent early in the stop. */
+    static constexpr worksshift::duration stop_may_cut_after = worksshift::milliseconds(6667);
+    static constexpr worksshift::duration early_in_a_stop = worksshift::seconds(3);
     /** Bound on retries to a service: ratio of the requests in two windows, plus the slack. */
     static constexpr double retry_ratio = 0.2;
     static constexpr double retry_slack = 50;
@@ -107,7 +113,8 @@
      * the requests that it accepted. */
     void stop(std::size_t router, worksshift::instant now)
     {
-        this->incarnations[router].stopped = now;
+        worksshift::instant& stopped = this->incarnations[router].stopped;
+        if (stopped == worksshift::instant{}) stopped = now;
     }
     /** A server or the connections to it have a fault. */
     void note_server_fault(const std::string& server, worksshift::instant now)
@@ -145,6 +152,8 @@
     [[nodiscard]] bool had_server_fault(const asked_request& sent_request,
                                         worksshift::instant now) const;
     void check_lost(const asked_request& sent_request, worksshift::instant now);
+    [[nodiscard]] bool may_be_cut_by_stop(const asked_request& sent_request,
+                                          worksshift::instant now) const;
     void check_key(const asked_request& sent_request);
     /** Whether the router had no fault from min_undisturbed_time before the request until now; with
      * \p must_be_running, whether it was not asked to stop either. */
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -16,33 +16,46 @@
 constexpr std::size_t servers_per_service = 4;
 constexpr std::size_t min_servers_left = 2;
 constexpr std::size_t callers_per_router = 5;
+constexpr std::size_t patient_callers_per_router = 2;
 constexpr duration fault_period = milliseconds(200);
+constexpr duration planned_work_period = milliseconds(500);
+/** One seed in this many has planned work only: nothing else excuses a response that is cut off. */
+constexpr std::uint64_t planned_work_seeds = 3;
 constexpr duration max_recovery_time = seconds(10);
 /** A longer step delays callers, servers and the store alike, so it counts as a stall. */
 constexpr duration max_step_time = milliseconds(150);
 
-/** The example configuration with one API key more, specific to the version. */
+/** The example configuration with one API key more, specific to the version, and a route for long
+ * streams. */
 std::string config_text(std::uint64_t version)
 {
     std::string text = support::example_config(version);
     const std::string keys = R"("apiKeys":["k1")";
     const std::string idle = R"("idleTimeoutMs":1000)";
     text.insert(text.find(keys) + keys.size(), R"(,"r)" + std::to_string(version) + '"');
+    const std::size_t once = text.find(R"({"name":"once")");
+    std::string long_route = text.substr(once, text.find('}', once) + 1 - once);
+    for (std::size_t at = 0; (at = long_route.find("once")) != std::string::npos;)
+        long_route.replace(at, 4, "long");
+    long_route.replace(long_route.find(":1500"), 5, ":9000");
+    text.insert(once, long_route + ",");
     return text.replace(text.find(idle), idle.size(), R"("idleTimeoutMs":5000)");
 }
 
 } // namespace
 
 soak_run::soak_run(std::uint64_t seed, std::size_t routers, duration span)
-    : random(seed), span(span), fleet(routers), guarantees(routers),
-      now(std::chrono::steady_clock::now())
+    : random(seed), patient_random(seed), planned_work_only(seed % planned_work_seeds == 0),
+      span(span), fleet(routers), guarantees(routers), now(std::chrono::steady_clock::now())
 {
     for (std::size_t i = 0; i < routers; ++i) {
         this->store_proxies.push_back(
             std::make_unique<loopback_proxy>(this->fleet.base.get(), this->fleet.store_address(i)));
         this->fleet.set_store_address(i, this->store_proxies.back()->address());
     }
-    this->callers.resize(routers * callers_per_router);
+    this->callers.resize(routers * (callers_per_router + patient_callers_per_router));
+    for (std::size_t i = 0; i < routers * patient_callers_per_router; ++i)
+        this->callers[i].patient = true;
 }
 
 std::size_t soak_run::draw(std::size_t below)
@@ -105,6 +118,8 @@
     constexpr std::size_t first_correct_behaviour = 7;
     this->guarantees.record_run(server, request, behaviour >= first_correct_behaviour, time);
     if (sent_request == nullptr) return {};
+    if (sent_request->route == &long_stream_route())
+        return this->apply_failure(behaviour, request, this->plan_long_stream(request, version));
     response_plan response;
     if (!sent_request->route->stream) {
         response.pieces.push_back(
@@ -125,6 +140,21 @@
     return this->apply_failure(behaviour, request, response);
 }
 
+response_plan soak_run::plan_long_stream(const std::string& request, const std::string& version)
+{
+    std::uniform_int_distribution<int> pause_ms(200, 1800);
+    response_plan response;
+    response.pieces.push_back({{}, stream_head(request)});
+    duration at{};
+    for (unsigned event = 1; event <= events_in_full_stream; ++event) {
+        const std::string data = header_in(request, "x-request-id") + " " + version;
+        response.pieces.push_back({at, event_chunk(event, data)});
+        at += milliseconds(pause_ms(this->patient_random));
+    }
+    response.pieces.push_back({at, "0\r\n\r\n"});
+    return response;
+}
+
 response_plan soak_run::apply_failure(std::size_t behaviour, const std::string& request,
                                       response_plan response)
 {
@@ -164,7 +194,10 @@
     const instant end = this->now + this->span;
     instant next_fault = this->now + guarantee_checker::min_undisturbed_time;
     while (this->now < end) {
-        if (this->now >= next_fault) {
+        if (this->now >= next_fault && this->planned_work_only) {
+            this->do_planned_work();
+            next_fault = this->now + planned_work_period;
+        } else if (this->now >= next_fault) {
             this->inject_random_fault();
             next_fault = this->now + fault_period;
         }
@@ -244,25 +277,34 @@
     }
 }
 
+const route_properties& soak_run::draw_route(const caller& from)
+{
+    if (!from.patient) return routes()[this->draw(routes().size())];
+    const auto unsafe = std::ranges::find(routes(), "/unsafe/x", &route_properties::path);
+    return this->patient_random() % 3 == 0 ? *unsafe : long_stream_route();
+}
+
 /** Sends the next request; opens a connection to a random router if none is open. */
 void soak_run::ask(caller& from)
 {
     if (from.connection == nullptr || from.connection->closed) {
-        from.router = this->draw(this->fleet.routers.size());
+        from.router = from.patient ? this->patient_random() % this->fleet.routers.size()
+                                   : this->draw(this->fleet.routers.size());
         from.connection = this->fleet.connect(from.router);
     }
     from.connection->received.clear();
     asked_request sent_request;
     sent_request = std::exchange(from.broken, {});
-    if (sent_request.route == nullptr) sent_request.route = &routes()[this->draw(routes().size())];
+    if (sent_request.route == nullptr) sent_request.route = &this->draw_route(from);
     sent_request.id = "q" + std::to_string(this->next_id++);
     sent_request.router = from.router;
     sent_request.sent = this->now;
     // One request in four uses the API key of one of the newest three configurations.
-    const std::size_t age = this->draw(12);
+    const std::size_t age = from.patient ? 12 : this->draw(12);
     if (age < 3 && this->version > age) sent_request.key_config_version = this->version - age;
     from.request_id = sent_request.id;
-    from.leave_at = this->draw(12) == 0 ? this->now + this->draw_span(1, 150) : instant{};
+    const bool leaves = !from.patient && this->draw(12) == 0;
+    from.leave_at = leaves ? this->now + this->draw_span(1, 150) : instant{};
     this->guarantees.ask(sent_request);
     const bool is_post = sent_request.route->method == "POST";
     std::string text = support::request_text(std::string(sent_request.route->method),
@@ -272,6 +314,7 @@
                                     ? "k1"
                                     : "r" + std::to_string(sent_request.key_config_version);
     text.replace(text.find(": k1") + 2, 2, api_key);
+    text.replace(text.find(": 2000") + 2, 4, std::to_string(sent_request.route->deadline.count()));
     if (!sent_request.resumes.empty()) {
         text.insert(text.find("X-Api-Key"),
                     "Last-Event-Id: " + std::to_string(sent_request.resume_after) +
@@ -306,8 +349,10 @@
         this->guarantees.record_response(*sent_request, received, this->now);
     if (sent_request != nullptr && ended) remember_broken_stream(from, *sent_request);
     const bool caller_leaves = from.leave_at != instant{} && this->now >= from.leave_at;
-    constexpr duration max_wait = seconds(4);
-    const bool gave_up = sent_request == nullptr || this->now - sent_request->sent > max_wait;
+    constexpr duration max_wait_after_timeout = milliseconds(2500);
+    const bool gave_up =
+        sent_request == nullptr ||
+        this->now - sent_request->sent > sent_request->route->timeout + max_wait_after_timeout;
     if (!ended && !caller_leaves && !gave_up) return;
     if (!ended && sent_request != nullptr) {
         sent_request->left = this->now;
@@ -315,7 +360,15 @@
     }
     if (!ended) from.connection.reset();
     from.request_id.clear();
-    from.next = this->now + this->draw_span(0, 60);
+    const bool at_once =
+        from.patient && sent_request != nullptr && sent_request->complete && !gave_up;
+    if (at_once) {
+        from.next = this->now;
+    } else if (from.patient) {
+        from.next = this->now + milliseconds(50);
+    } else {
+        from.next = this->now + this->draw_span(0, 60);
+    }
 }
 
 void soak_run::inject_random_fault()
@@ -347,6 +400,28 @@
     }
 }
 
+/** Stops and reloads of routers, and changes of the configuration and of the servers. */
+void soak_run::do_planned_work()
+{
+    const std::size_t router = this->draw(this->fleet.routers.size());
+    switch (this->draw(6)) {
+    case 0:
+        this->fleet.routers[router].signal(SIGHUP);
+        break;
+    case 1:
+        this->change_config();
+        break;
+    case 2:
+        this->remove_random_server();
+        this->add_server(this->draw(2) == 0 ? "desk" : "llm");
+        break;
+    default:
+        this->fleet.routers[router].signal(SIGTERM);
+        this->guarantees.stop(router, this->now);
+        break;
+    }
+}
+
 void soak_run::inject_router_fault(std::size_t router)
 {
     const support::child& process = this->fleet.routers[router];
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -36,6 +36,8 @@
     struct caller {
         std::unique_ptr<support::raw_caller> connection;
         std::size_t router = 0;
+        /** Sends one request after the other at once, most of them for long streams. */
+        bool patient = false;
         std::string request_id;         ///< id of the request in flight; empty: none
         worksshift::instant next{};     ///< time of the next request
         worksshift::instant leave_at{}; ///< the epoch: never
@@ -50,6 +52,8 @@
     };
 
     [[nodiscard]] std::size_t draw(std::size_t below);
+    [[nodiscard]] const route_properties& draw_route(const caller& from);
+    response_plan plan_long_stream(const std::string& request, const std::string& version);
     [[nodiscard]] worksshift::duration draw_span(int min_ms, int max_ms);
     void prepare();
     void add_server(const std::string& service);
@@ -65,6 +69,7 @@
     void update_request(caller& from);
     static void remember_broken_stream(caller& from, const asked_request& sent_request);
     void inject_random_fault();
+    void do_planned_work();
     void inject_router_fault(std::size_t router);
     void inject_store_fault(std::size_t router);
     void inject_server_link_fault();
@@ -73,6 +78,8 @@
     void check_recovery();
 
     std::mt19937_64 random;
+    std::mt19937_64 patient_random; ///< for patient callers and their streams
+    bool planned_work_only;
     worksshift::duration span;
     support::router_fleet fleet;
     guarantee_checker guarantees;
--- a/test/support/router_fleet.cpp
+++ b/test/support/router_fleet.cpp
@@ -96,9 +96,8 @@
 
 std::unique_ptr<raw_caller> router_fleet::connect(std::size_t router, int receive_buffer)
 {
-    return std::make_unique<raw_caller>(this->base.get(),
-                                        link_address{this->address_of(router), this->front_port},
-                                        receive_buffer);
+    return std::make_unique<raw_caller>(
+        this->base.get(), link_address{this->address_of(router), this->front_port}, receive_buffer);
 }
 
 bool router_fleet::run_until(const std::function<bool()>& done, duration limit)
