Test of a configuration after the loss of a data centre, known red

If both delegates, the VMs that read the store linearizably for all, are in one data centre and it is lost, the others get a configuration only when stale reads show it: after 4,150 ms in a fleet of 16 VMs in 2 data centres, with stale reads 4 s behind.

--- a/test/fuzz/versions_reach_every_vm.cpp
+++ b/test/fuzz/versions_reach_every_vm.cpp
@@ -4,6 +4,8 @@
  * that do get responses that are seconds old, and the store fails in every supported way. The
  * number of calls grows with the number of changes and not with the number of VMs.
  */
+#include <algorithm>
+
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
@@ -96,6 +98,7 @@
     CPPUNIT_TEST_SUITE(versions_reach_every_vm);
     CPPUNIT_TEST(through_all_faults);
     CPPUNIT_TEST(with_both_linearizable_watchers_refused);
+    CPPUNIT_TEST(when_a_data_centre_of_linearizable_watchers_is_lost);
     CPPUNIT_TEST(when_pending_watches_are_lost_silently);
     CPPUNIT_TEST(calls_grow_with_changes);
     CPPUNIT_TEST(calls_during_a_store_outage);
@@ -145,6 +148,39 @@
         CPPUNIT_ASSERT(fleet.run_until_known(max_propagation_time) < max_propagation_time);
     }
 
+    /** Guards against changes being delayed when one data centre is lost, whichever VMs read the
+     * store linearizably. Another server registers before, so that all VMs know the age of the last
+     * confirmed response. */
+    static void when_a_data_centre_of_linearizable_watchers_is_lost()
+    {
+        for (const std::size_t centres : {2, 3, 4}) {
+            for (const std::size_t vms : {8, 12, 16, 24, 48}) {
+                store_fleet fleet(vms, centres, 5);
+                fleet.store.lag = seconds(4);
+                add_servers(fleet, 8);
+                fleet.set_config(1);
+                fleet.run(seconds(10));
+                const auto reads_linearizably = [](const auto& entry) {
+                    return entry.second.watch_role.mode() == read_mode::linearizable;
+                };
+                const auto watcher = std::ranges::find_if(fleet.fleet.vms, reads_linearizably);
+                const std::size_t lost = fleet.fleet.data_centre_of(watcher->first);
+                fleet.store.put(object_kind::servers, "new", "x", fleet.fleet.now);
+                fleet.run(milliseconds(300));
+                for (std::size_t vm = 0; vm < vms; ++vm) {
+                    if (fleet.fleet.data_centre_of(vm) == lost) fleet.fleet.kill(vm);
+                }
+                fleet.run(milliseconds(100));
+                fleet.set_config(2);
+                const duration known = fleet.run_until_known(seconds(10));
+                CPPUNIT_ASSERT_MESSAGE(
+                    std::to_string(vms) + " VMs in " + std::to_string(centres) +
+                        " data centres: " + std::to_string(known / milliseconds(1)) + " ms",
+                    known < max_propagation_time);
+            }
+        }
+    }
+
     /** Guards against watches whose loss is not signalled: each has a timeout of its own. */
     static void when_pending_watches_are_lost_silently()
     {
