Two tests of resumed streams: the VM has known its servers for a minute

forged_headers::resume_position_on_a_non_resumable_route and streams_that_break::caller_resumes failed since a VM that has just started refuses streams that their callers do not name: both take up such a stream at a VM that has just started. They are about the position that is forwarded, not about versions, so their VM has now known its servers for longer than streams can be taken up. What they check is unchanged.

--- a/test/error/forged_headers.cpp
+++ b/test/error/forged_headers.cpp
@@ -159,6 +159,7 @@
     {
         scripted_server& desk = this->add_plain("a", "desk");
         scripted_server& engine = this->add_plain("b", "llm");
+        this->rig->age_known_servers();
         const std::string position = "Last-Event-Id: 7\r\n";
         for (const char* target : {"/safe/x", "/unsafe/x", "/once/x", "/stream/x"})
             this->ask(forged_request(target, "1", position));
--- a/test/error/streams_that_break.cpp
+++ b/test/error/streams_that_break.cpp
@@ -130,6 +130,7 @@
     void caller_resumes()
     {
         this->rig->add_server("a", "llm", events_to_the_end);
+        this->rig->age_known_servers();
         raw_caller& caller = this->rig->add_caller();
         std::string text = request_text("POST", "/stream/x", "1", "{}");
         text.insert(text.find("X-Api-Key"), "Last-Event-Id: 2\r\n");
--- a/test/support/path_rig.cpp
+++ b/test/support/path_rig.cpp
@@ -239,6 +239,12 @@
     return *this->raw_callers.back();
 }
 
+void path_rig::age_known_servers()
+{
+    const instant now = std::chrono::steady_clock::now();
+    this->table.sweep(now - stream_origins::lifetime - seconds(1));
+}
+
 std::vector<const scripted_server*> path_rig::all_servers() const
 {
     std::vector<const scripted_server*> all(this->servers.size());
--- a/test/support/path_rig.h
+++ b/test/support/path_rig.h
@@ -103,6 +103,8 @@
     scripted_server& add_server(const std::string& id, const std::string& service,
                                 scripted_server::script answer, const std::string& version = "v1");
     raw_caller& add_caller(int receive_buffer = 0);
+    /** From now on the VM has known its servers for longer than streams can be taken up. */
+    void age_known_servers();
     [[nodiscard]] std::vector<const scripted_server*> all_servers() const;
     /** Runs the loop until \p done. Returns false if that takes more than five seconds. */
     bool run_until(const std::function<bool()>& done);
