--- a/test/correctness/requests_during_a_planned_stop.cpp
+++ b/test/correctness/requests_during_a_planned_stop.cpp
@@ -44,7 +44,7 @@
     }
 
     /** The example configuration without short timeouts of routes and idle connections. */
-    static std::string patient_config()
+    static std::string long_timeout_config()
     {
         std::string config = example_config(1);
         for (std::size_t at = 0; (at = config.find(":1500", at)) != std::string::npos; ++at)
@@ -54,8 +54,8 @@
     }
 
     /** A request whose deadline is nine seconds away. */
-    static std::string patient_request(const std::string& method, const std::string& target,
-                                       const std::string& id, const std::string& body = {})
+    static std::string long_deadline_request(const std::string& method, const std::string& target,
+                                             const std::string& id, const std::string& body = {})
     {
         std::string text = request_text(method, target, id, body);
         return text.replace(text.find(": 2000"), 6, ": 9000");
@@ -65,7 +65,7 @@
     {
         this->fleet = std::make_unique<router_fleet>(1);
         this->fleet->stop_grace_s = grace_s;
-        this->fleet->set_config(patient_config());
+        this->fleet->set_config(long_timeout_config());
         this->fleet->add_server("a", "desk", std::move(desk));
         this->engine = &this->fleet->add_server("e", "llm", first_event);
         this->fleet->start_all();
@@ -84,7 +84,7 @@
         for (std::size_t i = 0; i < count; ++i) {
             callers.push_back(this->fleet->connect(0));
             callers.back()->send(
-                patient_request("POST", "/once/x", "first" + std::to_string(i), "{}"));
+                long_deadline_request("POST", "/once/x", "first" + std::to_string(i), "{}"));
         }
         const auto has_event = [](const auto& caller) {
             return body_in(caller->received).find("first") != std::string::npos;
@@ -127,7 +127,7 @@
             CPPUNIT_ASSERT_EQUAL(std::string(), header_in(caller->received, "connection"));
             caller->received.clear();
             const std::string id = "second" + std::to_string(next);
-            caller->send(next++ % 2 == 0 ? patient_request("POST", "/once/x", id, "{}")
+            caller->send(next++ % 2 == 0 ? long_deadline_request("POST", "/once/x", id, "{}")
                                          : request_text("POST", "/unsafe/x", id, "{}"));
         }
         CPPUNIT_ASSERT(this->fleet->run_until(
@@ -165,7 +165,7 @@
     {
         this->start(1, silent);
         const auto caller = this->fleet->connect(0);
-        caller->send(patient_request("POST", "/unsafe/x", "1", "{}"));
+        caller->send(long_deadline_request("POST", "/unsafe/x", "1", "{}"));
         CPPUNIT_ASSERT(this->fleet->run_until(
             [&] { return !this->fleet->servers[0]->requests.empty(); }, seconds(1)));
         this->fleet->routers[0].signal(SIGTERM);
@@ -181,11 +181,11 @@
         this->start(3, silent);
         const auto stream = this->begin_streams(1);
         const auto once = this->fleet->connect(0);
-        once->send(patient_request("POST", "/unsafe/x", "1", "{}"));
+        once->send(long_deadline_request("POST", "/unsafe/x", "1", "{}"));
         const auto repeatable = this->fleet->connect(0);
-        repeatable->send(patient_request("GET", "/safe/x", "2"));
+        repeatable->send(long_deadline_request("GET", "/safe/x", "2"));
         const auto partial = this->fleet->connect(0);
-        const std::string text = patient_request("POST", "/unsafe/x", "3", "{}");
+        const std::string text = long_deadline_request("POST", "/unsafe/x", "3", "{}");
         partial->send(text.substr(0, text.size() - 1));
         CPPUNIT_ASSERT(this->fleet->run_until(
             [&] { return this->fleet->servers[0]->requests.size() == 2; }, seconds(1)));
@@ -212,7 +212,7 @@
         });
         const auto caller = this->fleet->connect(0, 4096);
         caller->read_slowly(1000, milliseconds(100));
-        caller->send(patient_request("POST", "/unsafe/x", "1", "{}"));
+        caller->send(long_deadline_request("POST", "/unsafe/x", "1", "{}"));
         this->run_for(milliseconds(500));
         this->fleet->routers[0].signal(SIGTERM);
         this->fleet->run_until([&] { return caller->closed; }, seconds(8));
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t servers_per_service = 4;
 constexpr std::size_t min_servers_left = 2;
 constexpr std::size_t callers_per_router = 5;
-constexpr std::size_t patient_callers_per_router = 2;
+constexpr std::size_t back_to_back_callers_per_router = 2;
 constexpr duration fault_period = milliseconds(200);
 constexpr duration planned_work_period = milliseconds(500);
 /** One seed in this many has planned work only: nothing else excuses a response that is cut off. */
@@ -45,7 +45,7 @@
 } // namespace
 
 soak_run::soak_run(std::uint64_t seed, std::size_t routers, duration span)
-    : random(seed), patient_random(seed), planned_work_only(seed % planned_work_seeds == 0),
+    : random(seed), back_to_back_random(seed), planned_work_only(seed % planned_work_seeds == 0),
       span(span), fleet(routers), guarantees(routers), now(std::chrono::steady_clock::now())
 {
     for (std::size_t i = 0; i < routers; ++i) {
@@ -53,9 +53,9 @@
             std::make_unique<loopback_proxy>(this->fleet.base.get(), this->fleet.store_address(i)));
         this->fleet.set_store_address(i, this->store_proxies.back()->address());
     }
-    this->callers.resize(routers * (callers_per_router + patient_callers_per_router));
-    for (std::size_t i = 0; i < routers * patient_callers_per_router; ++i)
-        this->callers[i].patient = true;
+    this->callers.resize(routers * (callers_per_router + back_to_back_callers_per_router));
+    for (std::size_t i = 0; i < routers * back_to_back_callers_per_router; ++i)
+        this->callers[i].back_to_back = true;
 }
 
 std::size_t soak_run::draw(std::size_t below)
@@ -149,7 +149,7 @@
     for (unsigned event = 1; event <= events_in_full_stream; ++event) {
         const std::string data = header_in(request, "x-request-id") + " " + version;
         response.pieces.push_back({at, event_chunk(event, data)});
-        at += milliseconds(pause_ms(this->patient_random));
+        at += milliseconds(pause_ms(this->back_to_back_random));
     }
     response.pieces.push_back({at, "0\r\n\r\n"});
     return response;
@@ -279,17 +279,18 @@
 
 const route_properties& soak_run::draw_route(const caller& from)
 {
-    if (!from.patient) return routes()[this->draw(routes().size())];
+    if (!from.back_to_back) return routes()[this->draw(routes().size())];
     const auto unsafe = std::ranges::find(routes(), "/unsafe/x", &route_properties::path);
-    return this->patient_random() % 3 == 0 ? *unsafe : long_stream_route();
+    const bool is_short = this->back_to_back_random() % 3 == 0;
+    return is_short ? *unsafe : long_stream_route();
 }
 
 /** Sends the next request; opens a connection to a random router if none is open. */
 void soak_run::ask(caller& from)
 {
     if (from.connection == nullptr || from.connection->closed) {
-        from.router = from.patient ? this->patient_random() % this->fleet.routers.size()
-                                   : this->draw(this->fleet.routers.size());
+        from.router = from.back_to_back ? this->back_to_back_random() % this->fleet.routers.size()
+                                        : this->draw(this->fleet.routers.size());
         from.connection = this->fleet.connect(from.router);
     }
     from.connection->received.clear();
@@ -300,10 +301,11 @@
     sent_request.router = from.router;
     sent_request.sent = this->now;
     // One request in four uses the API key of one of the newest three configurations.
-    const std::size_t age = from.patient ? 12 : this->draw(12);
+    constexpr std::size_t no_versioned_key = 12;
+    const std::size_t age = from.back_to_back ? no_versioned_key : this->draw(12);
     if (age < 3 && this->version > age) sent_request.key_config_version = this->version - age;
     from.request_id = sent_request.id;
-    const bool leaves = !from.patient && this->draw(12) == 0;
+    const bool leaves = !from.back_to_back && this->draw(12) == 0;
     from.leave_at = leaves ? this->now + this->draw_span(1, 150) : instant{};
     this->guarantees.ask(sent_request);
     const bool is_post = sent_request.route->method == "POST";
@@ -361,10 +363,10 @@
     if (!ended) from.connection.reset();
     from.request_id.clear();
     const bool at_once =
-        from.patient && sent_request != nullptr && sent_request->complete && !gave_up;
+        from.back_to_back && sent_request != nullptr && sent_request->complete && !gave_up;
     if (at_once) {
         from.next = this->now;
-    } else if (from.patient) {
+    } else if (from.back_to_back) {
         from.next = this->now + milliseconds(50);
     } else {
         from.next = this->now + this->draw_span(0, 60);
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -37,7 +37,7 @@
         std::unique_ptr<support::raw_caller> connection;
         std::size_t router = 0;
         /** Sends one request after the other at once, most of them for long streams. */
-        bool patient = false;
+        bool back_to_back = false;
         std::string request_id;         ///< id of the request in flight; empty: none
         worksshift::instant next{};     ///< time of the next request
         worksshift::instant leave_at{}; ///< the epoch: never
@@ -78,7 +78,7 @@
     void check_recovery();
 
     std::mt19937_64 random;
-    std::mt19937_64 patient_random; ///< for patient callers and their streams
+    std::mt19937_64 back_to_back_random; ///< for back_to_back callers and their streams
     bool planned_work_only;
     worksshift::duration span;
     support::router_fleet fleet;
