One way to cancel an attempt, and one state of the stop

Found by reading the change once more; behaviour is the same. The router kept its own flag beside graceful_stop::stopping. Two functions peeked at a socket each in their own way. version_history took a minimum with a time that is never later.

--- a/src/caller_connections.cpp
+++ b/src/caller_connections.cpp
@@ -51,19 +51,24 @@
     return std::chrono::steady_clock::now();
 }
 
+/** The result of recv() for one byte, which stays unread. */
+ssize_t peek(evutil_socket_t socket)
+{
+    char next = 0;
+    return ::recv(socket, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+}
+
 /** Whether the peer has closed the connection and all its bytes have been read. */
 bool at_end_of_input(evutil_socket_t socket)
 {
-    char next = 0;
-    const ssize_t size = ::recv(socket, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+    const ssize_t size = peek(socket);
     return size == 0 || (size < 0 && errno == ECONNRESET);
 }
 
 /** Whether the system holds bytes that were not read yet. */
 bool has_unread_input(evutil_socket_t socket)
 {
-    char next = 0;
-    return ::recv(socket, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT) > 0;
+    return peek(socket) > 0;
 }
 
 } // namespace
--- a/src/request_path_output.cpp
+++ b/src/request_path_output.cpp
@@ -106,13 +106,7 @@
                {"unread_ms", (time - output.read_at) / milliseconds(1)},
                {"paused_ms", output.paused ? (time - output.paused_since) / milliseconds(1) : 0},
                {"server", last_server(request)}});
-    if (request.row != nullptr) {
-        request.row->health.on_neutral();
-        this->servers.cancel(request.attempt);
-        this->table.on_given_up(*request.row, request.deadline, time);
-        this->release(request);
-    }
-    this->cancel_relay(request, relay_result::unknown);
+    this->cancel_attempt(request, time);
     this->callers.abort_response(request.id);
     this->end(request, "slow_client", 0);
 }
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -135,7 +135,7 @@
     this->announce_suspects(time);
     this->gossip.tick(time, [this, time] { return this->build_local_state(time); });
     this->check_settings_file(time);
-    if (this->stopping) this->continue_stop(time);
+    if (this->path.shutdown().stopping()) this->continue_stop(time);
     flush_log();
 }
 
@@ -391,7 +391,7 @@
     state.digest.config_version = this->configuration.version();
     state.digest.watches_store =
         this->configuration.receives_updates() && this->registry.receives_updates();
-    state.digest.leaving = this->stopping;
+    state.digest.leaving = this->path.shutdown().stopping();
     state.digest.requests_per_s = static_cast<std::uint16_t>(std::min(
         this->path.admissions().engine_requests_per_s(time) * demand_units_per_rps, max_demand));
     state.digest.reported_loads = this->servers.drain_reported_loads(time);
@@ -472,7 +472,7 @@
                            this->registry.revision(),
                            this->path.active(),
                            this->serving,
-                           this->stopping,
+                           this->path.shutdown().stopping(),
                            this->registry.store_reachable(),
                            this->watch_role.watching()};
     return write_status(view, this->gossip.fleet(), this->servers, now());
@@ -524,7 +524,7 @@
 
 bool router::ready() const
 {
-    return !this->stopping && this->serving;
+    return !this->path.shutdown().stopping() && this->serving;
 }
 
 void router::check_settings_file(instant time)
@@ -562,8 +562,7 @@
 
 void router::stop()
 {
-    if (this->stopping) return;
-    this->stopping = true;
+    if (this->path.shutdown().stopping()) return;
     this->path.shutdown().begin(now());
     this->callers.start_closing();
     log_event(log_level::info, "stopping", {{"requests", this->path.active()}});
--- a/src/router.h
+++ b/src/router.h
@@ -108,7 +108,6 @@
     std::string settings_text; ///< content of the settings file when last read
     instant settings_checked_at{};
     bool serving = false; ///< requests are being routed
-    bool stopping = false;
     int exit_status = 0;
 };
 
--- a/src/version_history.h
+++ b/src/version_history.h
@@ -10,7 +10,6 @@
  */
 #pragma once
 
-#include <algorithm>
 #include <optional>
 
 #include "software_version.h"
@@ -24,7 +23,7 @@
     void observe(software_version version, instant known_since, instant now)
     {
         if (this->latest && version == *this->latest) return;
-        this->since = this->latest ? now : std::min(known_since, now);
+        this->since = this->latest ? now : known_since;
         this->latest = version;
     }
 
