Streams of a server that restarted at another version are not joined

Cause: a stream's version is that of the registry entry when its request was sent, which until then was the entry of the server's last process. The entry of the new process makes a new row, and the stream was compared with the row of the old one.

Change: when the entry of a new process names another version, the version of all streams in progress at its server is unknown, here and at the VMs that were told of it. Nobody goes on with them. Comparing times with the start that the entry states was ruled out, as clocks may be stepped.

Not covered: a server that breaks off its streams before its entry is written.

--- a/src/request_path.h
+++ b/src/request_path.h
@@ -90,6 +90,8 @@
 
     /** The VM was suspended for \p span, which the clock used for deadlines did not count. */
     void on_suspended(duration span);
+    /** A new process has written the server's entry. */
+    void on_server_restarted(const server_id& server);
     /** Expires requests past their deadline and retries repeatable requests of unresponsive
      * servers. */
     void tick(instant now);
@@ -203,6 +205,7 @@
     void on_stream_version(stream_key stream, std::optional<software_version> version);
     void require_version(live_request& request, std::optional<software_version> version,
                          std::string_view source);
+    [[nodiscard]] bool has_certain_version(const live_request& request) const;
     void begin_stream(live_request& request);
     [[nodiscard]] bool has_wrong_version(const live_request& request, int status) const;
 
--- a/src/request_path_relay.cpp
+++ b/src/request_path_relay.cpp
@@ -350,7 +350,7 @@
     const auto serving = this->find_serving_vm(request.service);
     if (serving) head.headers.push_back({std::string(relay_hint_header), to_text(*serving)});
     head.headers.push_back({std::string(relay_server_header), request.row->record.id.text});
-    if (request.attempt_version == request.row->software) {
+    if (this->has_certain_version(request)) {
         head.headers.push_back(
             {std::string(relay_version_header),
              std::to_string(static_cast<std::uint32_t>(request.attempt_version))});
--- a/src/request_path_resume.cpp
+++ b/src/request_path_resume.cpp
@@ -20,6 +20,12 @@
     return std::chrono::steady_clock::now();
 }
 
+/** The server of the current attempt, also if it answers through another VM; empty: not known. */
+const server_id& answering_server(const live_request& request)
+{
+    return request.row == nullptr ? request.relay_server : request.row->record.id;
+}
+
 } // namespace
 
 /** Determines the version that must go on with a stream that the caller takes up. Returns false if
@@ -87,19 +93,50 @@
     }
 }
 
+/** Whether the current entry of the server that answers names the version that its entry named when
+ * the request was sent. If not, the process that answers may have either version. */
+bool request_path::has_certain_version(const live_request& request) const
+{
+    const server_entry* row = this->table.find(answering_server(request));
+    // A server behind another VM may not be known here; that VM states its version.
+    if (row == nullptr) return request.row == nullptr;
+    return row->software == request.attempt_version;
+}
+
 /** The first event of a stream is about to be passed on. Its version is told to other VMs before,
  * so that they know it when this VM is lost and the caller comes to them. */
 void request_path::begin_stream(live_request& request)
 {
     if (!request.matched_route->resumable) return;
-    // An entry that changed since the request was sent does not describe the process that answers.
-    const bool certain = request.row == nullptr || request.row->software == request.attempt_version;
+    const bool certain = this->has_certain_version(request);
     request.required_version = certain ? request.attempt_version : software_version::unknown;
     // The VM to which the caller is connected tells the others.
     if (request.from_vm || *request.required_version == software_version::unknown) return;
     this->origins.announce({request.stream, *request.required_version}, now());
 }
 
+/** A server writes its entry some time after its start, so streams that are in progress when the
+ * entry of a new process arrives may have been begun by that process, at its version. */
+void request_path::on_server_restarted(const server_id& server)
+{
+    for (live_request* request : this->requests_in_progress()) {
+        const bool begun = request->response_begun && request->required_version &&
+                           *request->required_version != software_version::unknown;
+        if (!begun || answering_server(*request) != server || this->has_certain_version(*request))
+            continue;
+        log_event(log_level::info, "stream_version_uncertain",
+                  {{"request", request->metadata.id},
+                   {"server", server.text},
+                   {"version", static_cast<std::uint32_t>(*request->required_version)},
+                   {"events", request->events.events()}});
+        this->telemetry.count("worksshift_uncertain_streams_total");
+        request->required_version = software_version::unknown;
+        // The VM to which the caller is connected tells the others.
+        if (!request->from_vm)
+            this->origins.announce({request->stream, software_version::unknown}, now());
+    }
+}
+
 /** Whether the server that answers through another VM may not go on with the stream. */
 bool request_path::has_wrong_version(const live_request& request, int status) const
 {
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -237,8 +237,10 @@
     });
     this->registry.on_leaving.connect(
         [this](const server_id& id) { this->connection_pool.close_idle(id); });
-    this->registry.on_restarted.connect(
-        [this](const server_id& id) { this->connection_pool.close_idle(id); });
+    this->registry.on_restarted.connect([this](const server_id& id) {
+        this->connection_pool.close_idle(id);
+        this->path.on_server_restarted(id);
+    });
     this->gossip.on_digest.connect([this](const fleet_vm& from) {
         this->loads_changed = true;
         for (const reported_load& load : from.last.reported_loads)
--- a/test/error/streams_of_two_software_versions.cpp
+++ b/test/error/streams_of_two_software_versions.cpp
@@ -34,6 +34,10 @@
     CPPUNIT_TEST(ends_without_a_server_of_its_version);
     CPPUNIT_TEST(begins_anew_at_any_version_before_its_first_event);
     CPPUNIT_TEST(server_that_changes_its_version);
+    CPPUNIT_TEST(server_restarted_before_it_wrote_its_entry);
+    CPPUNIT_TEST(server_restarted_before_the_first_event);
+    CPPUNIT_TEST(server_restarted_at_the_same_version);
+    CPPUNIT_TEST(server_behind_another_vm_restarted);
     CPPUNIT_TEST(caller_resumes);
     CPPUNIT_TEST(caller_resumes_at_another_vm);
     CPPUNIT_TEST(half_of_the_vms_are_killed);
@@ -119,6 +123,19 @@
         return caller;
     }
 
+    /** The registry shows the entry of a new process of the server. */
+    void restart_entry(const scripted_server& server, const std::string& id,
+                       const std::string& version)
+    {
+        server_record record =
+            example_record(this->rig->adapter, id, "llm", server.address(), version, 4);
+        record.started_at_ms = 1;
+        this->rig->table.put(record, std::chrono::steady_clock::now());
+        this->rig->path->on_server_restarted({id});
+    }
+
+    static bool has_event(const raw_caller& caller) { return !body_in(caller.received).empty(); }
+
     static bool is_refused(const raw_caller& caller)
     {
         return caller.received.starts_with("HTTP/1.1 503");
@@ -193,6 +210,81 @@
         CPPUNIT_ASSERT(caller.closed);
     }
 
+    /** Guards against taking the entry that a server's last process wrote for that of the process
+     * which began the stream, when the server breaks off and when the caller takes it up. */
+    void server_restarted_before_it_wrote_its_entry()
+    {
+        scripted_server& restarted =
+            this->rig->add_server("a", "llm", holds_new_streams("v2"), "v1");
+        raw_caller& caller = this->rig->add_caller();
+        caller.send(new_stream("1"));
+        CPPUNIT_ASSERT(this->rig->run_until([&] { return has_event(caller); }));
+        const scripted_server& other =
+            this->rig->add_server("b", "llm", completes_streams("v1"), "v1");
+        this->restart_entry(restarted, "a", "v2");
+        restarted.end();
+        CPPUNIT_ASSERT(this->rig->run_until([&] { return has_ended(&caller); }));
+        CPPUNIT_ASSERT(versions_in(caller.received) == std::set<std::string>{"v2"});
+        CPPUNIT_ASSERT(caller.closed);
+        raw_caller& again = this->rig->add_caller();
+        again.send(resumption("2", "1"));
+        CPPUNIT_ASSERT(this->rig->run_until([&] { return has_ended(&again); }));
+        CPPUNIT_ASSERT(is_refused(again));
+        CPPUNIT_ASSERT(other.requests.empty());
+    }
+
+    /** The same, for a stream that waits for its first event as the entry changes. */
+    void server_restarted_before_the_first_event()
+    {
+        scripted_server* restarted = nullptr;
+        const auto answer = [&](const std::string& request) {
+            this->restart_entry(*restarted, "a", "v2");
+            return send_events(request, "v2", 1, then::close);
+        };
+        restarted = &this->rig->add_server("a", "llm", answer, "v1");
+        raw_caller& caller = this->rig->add_caller();
+        caller.send(new_stream("1"));
+        CPPUNIT_ASSERT(this->rig->run_until([&] { return !restarted->requests.empty(); }));
+        const scripted_server& other =
+            this->rig->add_server("b", "llm", completes_streams("v1"), "v1");
+        CPPUNIT_ASSERT(this->rig->run_until([&] { return has_ended(&caller); }));
+        CPPUNIT_ASSERT(versions_in(caller.received) == std::set<std::string>{"v2"});
+        CPPUNIT_ASSERT(other.requests.empty());
+    }
+
+    /** Guards against streams that end although a restart did not change the version. */
+    void server_restarted_at_the_same_version()
+    {
+        scripted_server& restarted =
+            this->rig->add_server("a", "llm", holds_new_streams("v1"), "v1");
+        raw_caller& caller = this->rig->add_caller();
+        caller.send(new_stream("1"));
+        CPPUNIT_ASSERT(this->rig->run_until([&] { return has_event(caller); }));
+        this->rig->add_server("b", "llm", completes_streams("v1"), "v1");
+        this->restart_entry(restarted, "a", "v1");
+        restarted.end();
+        CPPUNIT_ASSERT(this->rig->run_until([&] { return has_ended(&caller); }));
+        CPPUNIT_ASSERT_MESSAGE(caller.received, is_complete(caller));
+    }
+
+    /** Guards against a VM that forgets which server answers it through another VM. */
+    void server_behind_another_vm_restarted()
+    {
+        vm_group group(3);
+        group.set_retry_budget({1.0, seconds(10), 100.0});
+        scripted_server& restarted = group.add_server("a", "llm", holds_new_streams("v2"), "v1");
+        group.cut_off_and_detect(0, cut_kind::refused);
+        raw_caller& caller = group.add_caller(0);
+        caller.send(new_stream("1"));
+        CPPUNIT_ASSERT(group.run_until([&] { return has_event(caller); }));
+        const scripted_server& other = group.add_server("b", "llm", completes_streams("v1"), "v1");
+        group.restart_entry("a", "v2");
+        restarted.end();
+        CPPUNIT_ASSERT(group.run_until([&] { return has_ended(&caller); }));
+        CPPUNIT_ASSERT(versions_in(caller.received) == std::set<std::string>{"v2"});
+        CPPUNIT_ASSERT(other.requests.empty());
+    }
+
     /** Guards against a caller that takes its stream up again and gets another version. */
     void caller_resumes()
     {
--- a/test/support/vm_group.h
+++ b/test/support/vm_group.h
@@ -51,6 +51,8 @@
     void trust_all_hosts() { this->trusts_all_hosts = true; }
     /** The host of a server refuses connections from all VMs. */
     void end_server(std::size_t server);
+    /** The registry shows the entry of a new process of the server, with another version. */
+    void restart_entry(const std::string& server, const std::string& version);
     void set_retry_budget(const worksshift::fleet_retry_settings& settings);
     [[nodiscard]] worksshift::request_path& path(std::size_t vm);
     /** Where the VM accepts requests that other VMs relay. */
