New standby watchers of the store begin with stale reads

What operators saw: while the store refused all VMs, those that took over as standby watchers after six seconds made their first calls linearizably, each at ten times the price of a stale one.

Cause: a standby watcher switches to linearizable reads if nothing was confirmed for six seconds although the store answers it. A VM that has made no call yet counted as answered.

Change: a VM uses stale reads for the first 500 ms of standing by, which show whether the store answers it.

--- a/src/watcher_selection.cpp
+++ b/src/watcher_selection.cpp
@@ -21,15 +21,21 @@
 void watcher_selection::update(const fleet_table& fleet, instant confirmed_at, bool answered,
                                instant now)
 {
-    if (this->started == instant{}) this->started = now;
-    this->unconfirmed =
-        answered && now - std::max(confirmed_at, this->started) > max_confirmation_age;
+    if (this->started == instant{}) {
+        this->started = now;
+        this->standby_since = now;
+    }
     if (now - this->delegates_checked_at >= delegate_check_interval) {
         this->delegates_checked_at = now;
         const std::vector<std::uint32_t> delegates = fleet.delegates(now);
         this->delegate = std::ranges::find(delegates, fleet.self().address) != delegates.end();
     }
+    const bool stood_by = this->standby;
     this->update_standby(fleet, now);
+    if (this->standby && !stood_by) this->standby_since = now;
+    this->unconfirmed = answered &&
+                        now - std::max(confirmed_at, this->started) > max_confirmation_age &&
+                        now - this->standby_since >= min_stale_period;
 }
 
 void watcher_selection::update_standby(const fleet_table& fleet, instant now)
--- a/src/watcher_selection.h
+++ b/src/watcher_selection.h
@@ -2,14 +2,14 @@
  * Decides which VMs watch the platform's store on behalf of the others, and in which read mode.
  *
  * The number of calls to the store would grow with the fleet if every VM watched it. Two VMs of the
- * whole fleet, the delegates, which all VMs choose by the same ranking, read it linearizably;
- * digests pass what they learn on to all others at once. In addition, the VMs with the lowest
- * incarnations among those of each data centre that the store answers are standby watchers: they
- * use stale reads, which may be seconds old and cost a tenth. If no linearizable call of any VM has
- * been answered for `max_confirmation_age` although the standby watchers' calls are answered, these
- * switch to linearizable reads. A VM is a standby watcher unless enough VMs of the same data centre
- * are, so a VM that receives no digests, or only those of VMs that the store refuses, still has a
- * source.
+ * whole fleet, the delegates, in two data centres, which all VMs choose by the same ranking, read
+ * it linearizably; digests pass what they learn on to all others at once. In addition, the VMs with
+ * the lowest incarnations among those of each data centre that the store answers are standby
+ * watchers: they use stale reads, which may be seconds old and cost a tenth. If no linearizable
+ * call of any VM has been answered for `max_confirmation_age` although the standby watchers' calls
+ * are answered, these switch to linearizable reads. A VM is a standby watcher unless enough VMs of
+ * the same data centre are, so a VM that receives no digests, or only those of VMs that the store
+ * refuses, still has a source.
  */
 #pragma once
 
@@ -40,6 +40,10 @@
      * thus call it. */
     static constexpr duration takeover_delay = milliseconds(100);
     static constexpr duration max_takeover_delay = seconds(4);
+    /** A new standby watcher uses stale reads for at least this long, which show at a tenth of the
+     * price whether the store answers it: when the store is unavailable to all, more and more VMs
+     * stand by, and the first call of each would be a linearizable one that fails. */
+    static constexpr duration min_stale_period = milliseconds(500);
     /** Enough other VMs must have watched for this long before this VM stops, since they may have
      * started as recently as it did. */
     static constexpr duration step_down_delay = milliseconds(700);
@@ -61,6 +65,7 @@
     bool standby = true;
     bool unconfirmed = false;
     instant started{};
+    instant standby_since{};
     instant delegates_checked_at{};
     instant watched_since{}; ///< since when enough others watch; the epoch: they do not
     instant missing_since{}; ///< since when too few others watch; the epoch: enough do
