The VMs that read the store for all are in two data centres

Cause: both delegates, the VMs that read the store linearizably for the fleet, could be in one data centre, as they were the first two by rank. A lost delegate elsewhere is noticed after five seconds.

Change: the second delegate is the first by rank of the VMs in other data centres. Without others it is the next by rank, as before.

--- a/src/fleet_table.cpp
+++ b/src/fleet_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 #include "rendezvous.h"
@@ -273,16 +274,31 @@
 std::vector<std::uint32_t> fleet_table::delegates(instant now) const
 {
     constexpr std::uint64_t delegate_rank_key = 0x64656c;
-    std::vector<std::pair<std::uint64_t, std::uint32_t>> first{
-        {rendezvous_weight(delegate_rank_key, this->own.address), this->own.address}};
+    struct candidate {
+        std::uint64_t weight = 0;
+        std::uint32_t address = 0;
+        std::uint32_t data_centre = 0;
+    };
+    std::vector<candidate> candidates{{rendezvous_weight(delegate_rank_key, this->own.address),
+                                       this->own.address, this->own.data_centre}};
     for (const auto& [address, vm] : this->table) {
         if (vm.last.leaving || !this->is_alive(vm, now)) continue;
-        first.emplace_back(rendezvous_weight(delegate_rank_key, address), address);
-        std::ranges::sort(first, std::greater{});
-        first.resize(std::min(first.size(), delegates_per_fleet));
+        candidates.push_back(
+            {rendezvous_weight(delegate_rank_key, address), address, vm.data_centre});
+    }
+    std::vector<std::uint32_t> chosen;
+    std::vector<std::uint32_t> data_centres;
+    const auto preference = [&](const candidate& item) {
+        const bool elsewhere =
+            std::ranges::find(data_centres, item.data_centre) == data_centres.end();
+        return std::tuple(elsewhere, item.weight, item.address);
+    };
+    while (chosen.size() < delegates_per_fleet && !candidates.empty()) {
+        const auto next = std::ranges::max_element(candidates, {}, preference);
+        chosen.push_back(next->address);
+        data_centres.push_back(next->data_centre);
+        candidates.erase(next);
     }
-    std::vector<std::uint32_t> chosen(first.size());
-    std::ranges::transform(first, chosen.begin(), [](const auto& entry) { return entry.second; });
     return chosen;
 }
 
