A VM trusts the version that another VM states of a relayed stream

The VM that sends to the server has the entry that counts; the one with the caller may be behind.

Change: with a relayed stream, the own registry counts only when the entry of a new process arrives.

--- a/src/request_path_resume.cpp
+++ b/src/request_path_resume.cpp
@@ -97,10 +97,10 @@
  * the request was sent. If not, the process that answers may have either version. */
 bool request_path::has_certain_version(const live_request& request) const
 {
-    const server_entry* row = this->table.find(answering_server(request));
-    // A server behind another VM may not be known here; that VM states its version.
-    if (row == nullptr) return request.row == nullptr;
-    return row->software == request.attempt_version;
+    // Another VM states the version by its own registry, which may be newer.
+    if (request.row == nullptr) return true;
+    const server_entry* row = this->table.find(request.row->record.id);
+    return row != nullptr && row->software == request.attempt_version;
 }
 
 /** The first event of a stream is about to be passed on. Its version is told to other VMs before,
@@ -119,10 +119,13 @@
  * entry of a new process arrives may have been begun by that process, at its version. */
 void request_path::on_server_restarted(const server_id& server)
 {
+    const server_entry* row = this->table.find(server);
+    if (row == nullptr) return;
     for (live_request* request : this->requests_in_progress()) {
         const bool begun = request->response_begun && request->required_version &&
                            *request->required_version != software_version::unknown;
-        if (!begun || answering_server(*request) != server || this->has_certain_version(*request))
+        if (!begun || answering_server(*request) != server ||
+            request->attempt_version == row->software)
             continue;
         log_event(log_level::info, "stream_version_uncertain",
                   {{"request", request->metadata.id},
