--- a/test/error/streams_of_two_software_versions.cpp
+++ b/test/error/streams_of_two_software_versions.cpp
@@ -65,6 +65,8 @@
         return callers;
     }
 
+    static bool has_event(const raw_caller& caller) { return !body_in(caller.received).empty(); }
+
     struct begun_stream {
         std::string id;
         raw_caller* caller = nullptr;
@@ -80,10 +82,8 @@
             streams.push_back({id, &group.add_caller(vm)});
             streams.back().caller->send(new_stream(id));
         }
-        const auto has_event = [](const begun_stream& stream) {
-            return !body_in(stream.caller->received).empty();
-        };
-        CPPUNIT_ASSERT(group.run_until([&] { return std::ranges::all_of(streams, has_event); }));
+        const auto has_begun = [](const begun_stream& stream) { return has_event(*stream.caller); };
+        CPPUNIT_ASSERT(group.run_until([&] { return std::ranges::all_of(streams, has_begun); }));
         return streams;
     }
 
@@ -123,19 +123,6 @@
         return caller;
     }
 
-    /** The registry shows the entry of a new process of the server. */
-    void restart_entry(const scripted_server& server, const std::string& id,
-                       const std::string& version)
-    {
-        server_record record =
-            example_record(this->rig->adapter, id, "llm", server.address(), version, 4);
-        record.started_at_ms = 1;
-        this->rig->table.put(record, std::chrono::steady_clock::now());
-        this->rig->path->on_server_restarted({id});
-    }
-
-    static bool has_event(const raw_caller& caller) { return !body_in(caller.received).empty(); }
-
     static bool is_refused(const raw_caller& caller)
     {
         return caller.received.starts_with("HTTP/1.1 503");
@@ -221,7 +208,7 @@
         CPPUNIT_ASSERT(this->rig->run_until([&] { return has_event(caller); }));
         const scripted_server& other =
             this->rig->add_server("b", "llm", completes_streams("v1"), "v1");
-        this->restart_entry(restarted, "a", "v2");
+        restart_entry(this->rig->table, *this->rig->path, "a", "v2");
         restarted.end();
         CPPUNIT_ASSERT(this->rig->run_until([&] { return has_ended(&caller); }));
         CPPUNIT_ASSERT(versions_in(caller.received) == std::set<std::string>{"v2"});
@@ -238,7 +225,7 @@
     {
         scripted_server* restarted = nullptr;
         const auto answer = [&](const std::string& request) {
-            this->restart_entry(*restarted, "a", "v2");
+            restart_entry(this->rig->table, *this->rig->path, "a", "v2");
             return send_events(request, "v2", 1, then::close);
         };
         restarted = &this->rig->add_server("a", "llm", answer, "v1");
@@ -261,7 +248,7 @@
         caller.send(new_stream("1"));
         CPPUNIT_ASSERT(this->rig->run_until([&] { return has_event(caller); }));
         this->rig->add_server("b", "llm", completes_streams("v1"), "v1");
-        this->restart_entry(restarted, "a", "v1");
+        restart_entry(this->rig->table, *this->rig->path, "a", "v1");
         restarted.end();
         CPPUNIT_ASSERT(this->rig->run_until([&] { return has_ended(&caller); }));
         CPPUNIT_ASSERT_MESSAGE(caller.received, is_complete(caller));
--- a/test/support/path_rig.cpp
+++ b/test/support/path_rig.cpp
@@ -281,6 +281,16 @@
     return adapter.decode_server(entry);
 }
 
+void restart_entry(server_table& table, request_path& path, const std::string& server,
+                   const std::string& version)
+{
+    server_record record = table.find(server_id{server})->record;
+    record.version = version;
+    ++record.started_at_ms;
+    table.put(record, std::chrono::steady_clock::now());
+    path.on_server_restarted({server});
+}
+
 std::string example_config(std::uint64_t version)
 {
     const auto route = [](const std::string& name, const std::string& kind,
--- a/test/support/path_rig.h
+++ b/test/support/path_rig.h
@@ -131,6 +131,9 @@
                                          const std::string& service,
                                          const worksshift::link_address& address,
                                          const std::string& version, std::uint32_t slots);
+/** The registry shows the entry of a new process of a server that \p table has, with \p version. */
+void restart_entry(worksshift::server_table& table, worksshift::request_path& path,
+                   const std::string& server, const std::string& version);
 /** A configuration in the store's format: routes /safe/, /unsafe/, /stream/ (resumable), /once/ (a
  * stream that is not resumable), /safe/nested/ (one attempt) and /open/ (no key); key `k1` of
  * account `one`. */
--- a/test/support/vm_group.cpp
+++ b/test/support/vm_group.cpp
@@ -181,13 +181,8 @@
 
 void vm_group::restart_entry(const std::string& server, const std::string& version)
 {
-    for (const auto& vm : this->vms) {
-        server_record record = vm->table.find(server_id{server})->record;
-        record.version = version;
-        ++record.started_at_ms;
-        vm->table.put(record, std::chrono::steady_clock::now());
-        vm->path.on_server_restarted({server});
-    }
+    for (const auto& vm : this->vms)
+        support::restart_entry(vm->table, vm->path, server, version);
 }
 
 void vm_group::set_retry_budget(const fleet_retry_settings& settings)
