Late requests in a stop of worksshiftd are served in full or refused at once

What callers saw: a request sent on a kept connection right after the last response of a stopping VM was accepted and cut off 0.3 s later. Whatever was in progress at the stop deadline got no response.

The process decided once that no request was in progress, and exited 0.3 s after that whatever had arrived since; no decision was made on a request that arrives late.

Change: worksshiftd decides by graceful_stop, too. After stop-linger-s a request is served if its deadline is before the end of the stop, and refused at once with 503 not_run if not. The process exits when it has been without work for 0.3 s. 0.4 s before the deadline, requests in progress are answered: 503 not_run, or 502 unknown if they were sent. Responses whose head is sent after the stop request announce that their connection closes, also if their request arrived before. Fewer requests can be lost, as the exit no longer depends on one moment: each request is judged by its own deadline.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -6,6 +6,7 @@
 #include "admin_api.h"
 #include "placement.h"
 #include "process.h"
+#include "route_requests.h"
 
 namespace worksshift {
 
@@ -16,8 +17,11 @@
 constexpr duration load_poll_interval = seconds(1);
 /** Time between two watches of the manifest, unless the first one returned a newer manifest. */
 constexpr duration watch_interval = milliseconds(500);
-/** Time to flush the last response before the process exits. */
+/** How long a stopping VM without work waits before the process exits: the last response is sent,
+ * and a caller that sends at once on the same connection still gets a response. */
 constexpr duration flush_time = milliseconds(300);
+/** Retry-After of requests that come too late in a stop: another VM can take them at once. */
+constexpr std::uint32_t stop_retry_after_ms = 20;
 /** Credit is returned to a gate in steps of at least this many bytes, to bound its messages. */
 constexpr std::uint32_t min_credit_bytes = 16 * 1024;
 
@@ -63,17 +67,12 @@
       vm_list_timer(base.get(), [this] { this->list_vms(); }),
       load_poll_timer(base.get(), [this] { this->poll_loads(); }),
       watch_timer(base.get(), [this] { this->watch_config(); }),
-      stop_timer(base.get(),
-                 [this] {
-                     log_event(log_level::error, "stop_deadline",
-                               {{"requests", this->front.size()}, {"calls", this->calls.size()}});
-                     this->exit_status = 1;
-                     event_base_loopbreak(this->base.get());
-                 }),
       on_term(base.get(), SIGTERM, [this] { this->stop(); }),
       on_int(base.get(), SIGINT, [this] { this->stop(); })
 {
     raise_file_limit();
+    this->shutdown.set_grace(seconds(this->options.stop_deadline_s));
+    this->shutdown.set_accept_time(seconds(this->options.stop_linger_s));
     this->admin = std::make_unique<admin_api>(this->base.get(), this->options, this->core,
                                               this->platform, this->writer);
     this->connect_signals();
@@ -164,7 +163,7 @@
         this->published_revision = config->revision;
         this->front.set_config(config);
     }
-    if (this->stopping) this->finish_stop_if_idle();
+    if (this->shutdown.stopping()) this->continue_stop(time);
 }
 
 void daemon::execute(const action& next_action)
@@ -276,11 +275,33 @@
 
 void daemon::accept_request(accepted_request accepted)
 {
+    const instant time = now();
+    if (!this->shutdown.serves(time, accepted.row.deadline)) {
+        this->refuse_late(accepted.row, time);
+        return;
+    }
     this->streams[accepted.row.id] = accepted.stream;
     this->core.data().in.arrivals.push_back(std::move(accepted.row));
     this->schedule_tick();
 }
 
+/** Refuses a request that the end of this VM's stop could cut off. */
+void daemon::refuse_late(const request_row& row, instant time)
+{
+    const auto until = [time](instant end) { return (end - time) / milliseconds(1); };
+    log_event(log_level::info, "stop_refused",
+              {{"request", row.request_id},
+               {"stopping_ms", this->shutdown.elapsed(time) / milliseconds(1)},
+               {"left_ms", until(this->shutdown.requests_end_at())},
+               {"deadline_ms", until(row.deadline)}});
+    this->telemetry.count("worksshift_stop_refused_total");
+    fail_request failure = make_stop_error();
+    failure.request = row.id;
+    failure.peer = this->options.vm.text;
+    failure.retry_after_ms = stop_retry_after_ms;
+    this->front.fail(failure);
+}
+
 void daemon::return_credit(std::uint64_t request, std::uint32_t bytes)
 {
     std::uint32_t& drained = this->credits[request];
@@ -319,7 +340,7 @@
 
 void daemon::watch_config()
 {
-    if (this->watch_in_flight || this->stopping) return;
+    if (this->watch_in_flight || this->shutdown.stopping()) return;
     const bool first = this->core.config().revision() == 0;
     if (!first && !is_watcher(this->core.members())) {
         this->watch_timer.start_once(seconds(1));
@@ -394,33 +415,48 @@
 
 void daemon::stop()
 {
-    if (this->stopping) {
+    if (this->shutdown.stopping()) {
         log_event(log_level::warn, "second_stop_signal",
                   {{"requests", this->front.size()}, {"calls", this->calls.size()}});
         this->exit_status = 1;
         event_base_loopbreak(this->base.get());
         return;
     }
-    this->stopping = true;
-    this->stop_since = now();
+    this->shutdown.begin(now());
     log_event(log_level::info, "stopping",
               {{"requests", this->front.size()}, {"calls", this->calls.size()}});
     this->front.set_leaving();
     this->core.leave();
-    this->stop_timer.start_once(seconds(this->options.stop_deadline_s));
     this->schedule_tick();
 }
 
-void daemon::finish_stop_if_idle()
+void daemon::continue_stop(instant time)
 {
     // The load balancer keeps sending requests for a while after /healthz fails; they are served.
-    if (now() - this->stop_since < seconds(this->options.stop_linger_s)) return;
-    this->front.close();
+    const bool accepting = this->shutdown.accepts_connections(time);
+    if (!accepting) this->front.close();
+    if (time >= this->shutdown.requests_end_at()) this->end_requests();
     const bool idle = this->core.idle() && this->front.size() == 0 && this->calls.size() == 0;
-    if (!idle || this->exiting) return;
-    this->exiting = true;
-    const timeval wait = to_timeval(flush_time);
-    event_base_loopexit(this->base.get(), &wait);
+    if (accepting || !idle) this->busy_at = time;
+    const bool flushed = time - this->busy_at >= flush_time;
+    if (!flushed && time < this->shutdown.exit_at()) return;
+    if (!idle) {
+        log_event(log_level::error, "stop_deadline",
+                  {{"requests", this->front.size()}, {"calls", this->calls.size()}});
+        this->exit_status = 1;
+    }
+    event_base_loopbreak(this->base.get());
+}
+
+/** Answers what is still in progress shortly before the stop deadline. */
+void daemon::end_requests()
+{
+    const std::size_t ended = this->core.end_requests();
+    if (ended == 0) return;
+    log_event(log_level::error, "stop_deadline",
+              {{"requests", ended}, {"calls", this->calls.size()}});
+    this->exit_status = 1;
+    this->schedule_tick();
 }
 
 std::string daemon::format_metrics() const
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -6,6 +6,7 @@
 #include "config_writer.h"
 #include "engine_client.h"
 #include "gossip_socket.h"
+#include "graceful_stop.h"
 #include "http_frontend.h"
 #include "link_hub.h"
 #include "node.h"
@@ -49,6 +50,7 @@
     void send(const vm_id& to, link_message message);
     void receive(const vm_id& from, link_message message);
     void accept_request(accepted_request accepted);
+    void refuse_late(const request_row& row, instant time);
     void return_credit(std::uint64_t request, std::uint32_t bytes);
 
     void start_discovery();
@@ -59,7 +61,8 @@
     void poll_load(const gate_row& gate);
 
     void stop();
-    void finish_stop_if_idle();
+    void continue_stop(instant time);
+    void end_requests();
     std::string format_metrics() const;
 
     settings options;
@@ -83,7 +86,6 @@
     timer vm_list_timer;
     timer load_poll_timer;
     timer watch_timer;
-    timer stop_timer;
     signal_handler on_term;
     signal_handler on_int;
 
@@ -94,9 +96,8 @@
     std::uint64_t published_revision = 0; ///< of the configuration that `front` uses
     bool watch_in_flight = false;
     bool tick_scheduled = false;
-    bool stopping = false;
-    bool exiting = false;
-    instant stop_since{};
+    graceful_stop shutdown;
+    instant busy_at{}; ///< when a stopping VM last accepted connections or had work in progress
     int exit_status = 0;
 };
 
--- a/src/graceful_stop.cpp
+++ b/src/graceful_stop.cpp
@@ -14,7 +14,7 @@
     if (!this->stopping()) return true;
     // In a short grace period, half of the time is left for the requests that were accepted.
     const duration serving_time = this->requests_end_at() - this->began_at;
-    return this->elapsed(now) < std::min(max_accept_time, serving_time / 2);
+    return this->elapsed(now) < std::min(this->accept_time, serving_time / 2);
 }
 
 bool graceful_stop::serves(instant now, instant deadline) const
--- a/src/graceful_stop.h
+++ b/src/graceful_stop.h
@@ -17,11 +17,11 @@
 
 class graceful_stop {
 public:
-    /** How long new connections are accepted at most. The platform's load balancer removes a VM
+    /** How long new connections are accepted by default. The platform's load balancer removes a VM
      * after two failed readiness checks one second apart. Accepting for longer risks requests that
      * cannot finish within the grace period: a response of five seconds, accepted after 3.2 s, was
      * cut off. */
-    static constexpr duration max_accept_time = milliseconds(2700);
+    static constexpr duration default_accept_time = milliseconds(2700);
     /** Requests in progress are ended this long before the end of the grace period. */
     static constexpr duration end_margin = milliseconds(400);
     /** The process exits this long before it would be killed. Between the two margins, callers
@@ -30,6 +30,9 @@
 
     /** \p span: from the stop request until the process is killed. */
     void set_grace(duration span) { this->grace = span; }
+    /** \p span: for which new connections are accepted, at most half of the time until requests in
+     * progress are ended. */
+    void set_accept_time(duration span) { this->accept_time = span; }
     /** The stop request; further ones have no effect. */
     void begin(instant now);
     [[nodiscard]] bool stopping() const { return this->began_at != instant{}; }
@@ -45,6 +48,7 @@
 
 private:
     duration grace = seconds(8);
+    duration accept_time = default_accept_time;
     instant began_at{}; ///< the epoch: not stopping
 };
 
--- a/src/http_frontend.cpp
+++ b/src/http_frontend.cpp
@@ -159,9 +159,7 @@
     raw.method = method_name(evhttp_request_get_command(request));
     raw.path = evhttp_request_get_uri(request);
     raw.headers = copy_headers(evhttp_request_get_input_headers(request));
-    if (this->leaving) {
-        evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
-    }
+    this->announce_close(request);
     if (raw.path == "/healthz") {
         send_text(request, this->leaving ? 503 : 200, "text/plain",
                   this->leaving ? "leaving\n" : "ok\n");
@@ -190,6 +188,14 @@
     }
 }
 
+/** Lets the response's connection close after it if this VM is leaving. */
+void http_frontend::announce_close(evhttp_request* request) const
+{
+    evkeyvalq* headers = evhttp_request_get_output_headers(request);
+    if (this->leaving && evhttp_find_header(headers, "Connection") == nullptr)
+        evhttp_add_header(headers, "Connection", "close");
+}
+
 void http_frontend::send_models(evhttp_request* request, const raw_request& raw)
 {
     if (raw.method != "GET") {
@@ -267,6 +273,7 @@
     pending->last_chunk_at = std::chrono::steady_clock::now();
     this->telemetry.observe(latency::first_byte, pending->service, pending->account,
                             pending->last_chunk_at - pending->started);
+    this->announce_close(pending->request);
     evkeyvalq* out = evhttp_request_get_output_headers(pending->request);
     for (const header& extra : headers) {
         evhttp_add_header(out, extra.name.c_str(), extra.value.c_str());
@@ -326,6 +333,7 @@
     if (pending->head_sent) {
         evhttp_connection_free(pending->connection);
     } else {
+        this->announce_close(pending->request);
         send_error(pending->request, failure);
     }
     this->pending_requests.erase(failure.request);
@@ -336,6 +344,7 @@
     pending_request* pending = this->find(recorded.request);
     if (pending == nullptr) return;
     this->detach(*pending);
+    this->announce_close(pending->request);
     evkeyvalq* headers = evhttp_request_get_output_headers(pending->request);
     evhttp_add_header(headers, "X-Worksshift-Replayed", "true");
     send_text(pending->request, recorded.status, "application/json", recorded.body);
--- a/src/http_frontend.h
+++ b/src/http_frontend.h
@@ -40,7 +40,8 @@
     {
         this->config = std::move(config);
     }
-    /** Makes `/healthz` fail, so that the load balancer stops sending requests to this VM. */
+    /** Makes `/healthz` fail, so that the load balancer stops sending requests to this VM. From now
+     * on, each response whose head is still to be sent announces that its connection closes. */
     void set_leaving() { this->leaving = true; }
     /** Stops accepting connections. */
     void close();
@@ -48,8 +49,8 @@
     void send_head(std::uint64_t request, std::uint16_t status, std::span<const header> headers);
     void send_data(std::uint64_t request, std::string_view bytes);
     void complete(std::uint64_t request);
-    /** Ends a request with an error. Must not be called from a callback of the caller's connection,
-     * since it may free that connection. */
+    /** Ends a request with an error. Once a part of the response was sent, this frees the caller's
+     * connection, so it must not be called from a callback of that connection then. */
     void fail(const fail_request& failure);
     void replay(const replay_request& recorded);
 
@@ -67,6 +68,7 @@
 
     void handle_http_request(evhttp_request* request);
     void handle_api_request(evhttp_request* request, const raw_request& raw);
+    void announce_close(evhttp_request* request) const;
     void send_models(evhttp_request* request, const raw_request& raw);
     pending_request* find(std::uint64_t id);
     void detach(pending_request& pending);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -186,6 +186,11 @@
     this->assignment.view_version = 0;
 }
 
+std::size_t node::end_requests()
+{
+    return worksshift::end_requests(this->rows);
+}
+
 bool node::idle() const
 {
     const tables& t = this->rows;
--- a/src/node.h
+++ b/src/node.h
@@ -34,6 +34,9 @@
     offer_result offer(config_documents documents);
     /** Starts a planned stop: refuses new work, notifies other VMs, lets work in flight finish. */
     void leave();
+    /** Ends all requests of callers of this VM, as the process is about to exit: the callers learn
+     * that theirs was not run, or that its outcome is not known. Returns their number. */
+    std::size_t end_requests();
     /** Whether no request, attempt or claim is in flight or queued here. */
     [[nodiscard]] bool idle() const;
 
--- a/src/route_requests.cpp
+++ b/src/route_requests.cpp
@@ -1,6 +1,7 @@
 #include "route_requests.h"
 
 #include <algorithm>
+#include <ranges>
 
 #include "home.h"
 #include "placement.h"
@@ -374,6 +375,20 @@
     if (!request.gate.empty()) t.send(request.gate, cancel_attempt{request.attempt});
 }
 
+/** Ends a request whose attempt, if it has one, is still in progress. \p status_if_sent: of a
+ * request that may have run. */
+void abandon(tables& t, request_row& request, fail_request failure, std::uint16_t status_if_sent)
+{
+    cancel_request(t, request);
+    failure.step = request.gate.empty() ? "claim" : "run";
+    failure.peer = request.server.text;
+    if (!request.gate.empty() || request.may_have_run) {
+        failure.result = outcome::unknown;
+        failure.status = status_if_sent;
+    }
+    fail(t, request, std::move(failure));
+}
+
 } // namespace
 
 next_step choose_next_step(const request_row& request, const attempt_result& result,
@@ -460,15 +475,24 @@
         if (request.deadline <= time.now) expired.push_back(id);
     }
     for (const std::uint64_t id : expired) {
-        request_row& request = t.requests.at(id);
-        cancel_request(t, request);
-        fail_request failure =
-            make_not_run_error(status_timeout, "deadline", "the deadline passed");
-        failure.step = request.gate.empty() ? "claim" : "run";
-        failure.peer = request.server.text;
-        if (!request.gate.empty()) failure.result = outcome::unknown;
-        fail(t, request, std::move(failure));
+        abandon(t, t.requests.at(id),
+                make_not_run_error(status_timeout, "deadline", "the deadline passed"),
+                status_timeout);
     }
 }
 
+std::size_t end_requests(tables& t)
+{
+    std::vector<std::uint64_t> ids;
+    std::ranges::copy(t.requests | std::views::keys, std::back_inserter(ids));
+    for (const std::uint64_t id : ids)
+        abandon(t, t.requests.at(id), make_stop_error(), status_bad_gateway);
+    return ids.size();
+}
+
+fail_request make_stop_error()
+{
+    return make_not_run_error(status_unavailable, "stopping", "the VM is stopping");
+}
+
 } // namespace worksshift
--- a/src/route_requests.h
+++ b/src/route_requests.h
@@ -31,6 +31,12 @@
 /** Ends requests past their deadline, and those whose caller disconnected. */
 void expire_requests(tables& t, const tick_time& time);
 
+/** Ends all requests, as the process is about to exit. Returns their number. */
+std::size_t end_requests(tables& t);
+
+/** The error of a request that was not run because its VM is stopping. */
+fail_request make_stop_error();
+
 /** What to do after an attempt that did not give a complete response. */
 enum class next_step : std::uint8_t { retry, resume, give_up };
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -26,9 +26,11 @@
 /** All numeric settings with their ranges and defaults. */
 const number_setting number_settings[] = {
     {"stop-deadline-s", 1, 3600, 120,
-     "seconds a planned stop may take before work in flight is aborted",
+     "seconds from a stop request until the process exits at the latest; requests in progress are "
+     "ended 0.4 s before",
      [](settings& s, std::uint32_t v) { s.stop_deadline_s = v; }},
-    {"stop-linger-s", 0, 600, 5, "seconds for which a stopping VM still accepts new requests",
+    {"stop-linger-s", 0, 600, 5,
+     "seconds for which a stopping VM still accepts connections, at most half of stop-deadline-s",
      [](settings& s, std::uint32_t v) { s.stop_linger_s = v; }},
     {"body-max-kb", 1, 6144, 4096, "largest request body, in KiB",
      [](settings& s, std::uint32_t v) { s.max_request_body_bytes = v * 1024; }},
--- a/src/settings.h
+++ b/src/settings.h
@@ -29,7 +29,7 @@
     std::vector<std::string> admin_tokens; ///< NAME:ROLE:TOKEN
     log_level level = log_level::info;
     std::uint32_t stop_deadline_s = 120;
-    std::uint32_t stop_linger_s = 5; ///< time for which a stopping VM accepts new requests
+    std::uint32_t stop_linger_s = 5; ///< time for which a stopping VM accepts connections
     std::uint32_t max_request_body_bytes = 0;
     std::uint32_t idle_timeout_s = 0; ///< of callers' connections
     std::uint32_t default_deadline_ms = 0;
--- a/test/correctness/graceful_stop_decides.cpp
+++ b/test/correctness/graceful_stop_decides.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(late_requests_must_end_in_time);
     CPPUNIT_TEST(later_stop_requests_change_nothing);
     CPPUNIT_TEST(grace_period_may_change);
+    CPPUNIT_TEST(accept_time_may_be_set);
     CPPUNIT_TEST_SUITE_END();
 
     const instant start = instant{} + seconds(1000);
@@ -79,6 +80,21 @@
         CPPUNIT_ASSERT(stop.requests_end_at() ==
                        this->start + seconds(6) - graceful_stop::end_margin);
     }
+
+    /** Guards against an accept time that is ignored, or that leaves requests no time to end. */
+    void accept_time_may_be_set()
+    {
+        graceful_stop stop = this->begun(seconds(20));
+        const duration half = (seconds(20) - graceful_stop::end_margin) / 2;
+        for (const auto& [set, expected] :
+             {std::pair<duration, duration>{duration::zero(), duration::zero()},
+              {seconds(5), seconds(5)},
+              {seconds(600), half}}) {
+            stop.set_accept_time(set);
+            CPPUNIT_ASSERT(stop.accepts_connections(this->start + expected - milliseconds(1)));
+            CPPUNIT_ASSERT(!stop.accepts_connections(this->start + expected));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(graceful_stop_decides);
--- a/test/support/fleet.cpp
+++ b/test/support/fleet.cpp
@@ -171,32 +171,65 @@
     return nlohmann::json::parse(this->body, nullptr, false);
 }
 
-std::string send_raw(std::uint16_t port, std::string_view bytes, int timeout_ms)
+kept_connection::kept_connection(std::uint16_t port) : socket(::socket(AF_INET, SOCK_STREAM, 0))
 {
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
     const sockaddr_in target = loopback_address(port);
-    std::string received;
-    if (::connect(socket, reinterpret_cast<const sockaddr*>(&target), sizeof target) == 0) {
-        while (!bytes.empty()) {
-            const ssize_t sent = ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-            if (sent <= 0) break;
-            bytes.remove_prefix(static_cast<std::size_t>(sent));
-        }
-        const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(timeout_ms);
-        std::array<char, 65536> buffer{};
-        for (;;) {
-            const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-                until - std::chrono::steady_clock::now());
-            if (left.count() <= 0) break;
-            pollfd ready{socket, POLLIN, 0};
-            if (poll(&ready, 1, static_cast<int>(left.count())) <= 0) break;
-            const ssize_t length = ::recv(socket, buffer.data(), buffer.size(), 0);
-            if (length <= 0) break;
-            received.append(buffer.data(), static_cast<std::size_t>(length));
-        }
+    if (::connect(this->socket, reinterpret_cast<const sockaddr*>(&target), sizeof target) == 0)
+        return;
+    ::close(std::exchange(this->socket, -1));
+}
+
+kept_connection::~kept_connection()
+{
+    if (this->socket >= 0) ::close(this->socket);
+}
+
+kept_connection::kept_connection(kept_connection&& other) noexcept
+    : received(std::move(other.received)), socket(std::exchange(other.socket, -1))
+{
+}
+
+void kept_connection::send(std::string_view bytes) const
+{
+    while (!bytes.empty()) {
+        const ssize_t sent = ::send(this->socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (sent <= 0) return;
+        bytes.remove_prefix(static_cast<std::size_t>(sent));
     }
-    ::close(socket);
-    return received;
+}
+
+bool kept_connection::read_until(const std::function<bool(const std::string&)>& done,
+                                 int timeout_ms)
+{
+    const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(timeout_ms);
+    std::array<char, 65536> buffer{};
+    while (!done(this->received)) {
+        if (this->socket < 0) return false;
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            until - std::chrono::steady_clock::now());
+        if (left.count() <= 0) return false;
+        pollfd ready{this->socket, POLLIN, 0};
+        if (poll(&ready, 1, static_cast<int>(left.count())) <= 0) return false;
+        const ssize_t length = ::recv(this->socket, buffer.data(), buffer.size(), 0);
+        if (length <= 0) return false;
+        this->received.append(buffer.data(), static_cast<std::size_t>(length));
+    }
+    return true;
+}
+
+reply kept_connection::receive(int timeout_ms)
+{
+    this->read_until([](const std::string& bytes) { return parse_reply(bytes).complete; },
+                     timeout_ms);
+    return parse_reply(std::exchange(this->received, {}));
+}
+
+std::string send_raw(std::uint16_t port, std::string_view bytes, int timeout_ms)
+{
+    kept_connection connection(port);
+    connection.send(bytes);
+    connection.read_until([](const std::string&) { return false; }, timeout_ms);
+    return connection.received;
 }
 
 reply parse_reply(const std::string& bytes)
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -63,6 +63,31 @@
 reply http(std::uint16_t port, const std::string& method, const std::string& path,
            const std::vector<worksshift::header>& headers = {}, const std::string& body = {},
            int timeout_ms = 10000);
+/** A connection to a port of loopback that stays open for several requests. Calls block. */
+class kept_connection {
+public:
+    /** Without a listener at the port, nothing is received. */
+    explicit kept_connection(std::uint16_t port);
+    ~kept_connection();
+    kept_connection(const kept_connection&) = delete;
+    kept_connection& operator=(const kept_connection&) = delete;
+    kept_connection(kept_connection&& other) noexcept;
+    kept_connection& operator=(kept_connection&&) = delete;
+
+    void send(std::string_view bytes) const;
+    /** Reads until \p done holds for the bytes received so far; false if the peer closes or the
+     * timeout expires before. */
+    bool read_until(const std::function<bool(const std::string&)>& done, int timeout_ms);
+    /** The next response, or what was received of it when the peer closed or the timeout expired.
+     */
+    reply receive(int timeout_ms);
+
+    std::string received; ///< since the last response
+
+private:
+    int socket = -1;
+};
+
 /** Sends bytes unchanged and reads until the peer closes or the timeout expires. */
 std::string send_raw(std::uint16_t port, std::string_view bytes, int timeout_ms);
 /** Splits raw bytes into a reply. */
