Names in the soak, the fakes and the test support say what things are

Local variables named given, made and asked hid whether they were settings, responses or records. The soak's record of a request is request_record, and callers send_request. No logic, check or bound is changed.

--- a/test/fakes/fake_http.cpp
+++ b/test/fakes/fake_http.cpp
@@ -7,12 +7,12 @@
 
 namespace fakes {
 
-arguments::arguments(int count, char** given)
+arguments::arguments(int count, char** words)
 {
     for (int i = 1; i + 1 < count; i += 2) {
-        const std::string name = given[i];
+        const std::string name = words[i];
         if (!name.starts_with("--")) throw std::invalid_argument("expected --NAME, got " + name);
-        this->values[name.substr(2)] = given[i + 1];
+        this->values[name.substr(2)] = words[i + 1];
     }
 }
 
--- a/test/fakes/main_fake_platform.cpp
+++ b/test/fakes/main_fake_platform.cpp
@@ -235,9 +235,10 @@
 
 int main(int count, char** values)
 {
-    const fakes::arguments given(count, values);
+    const fakes::arguments command_line(count, values);
     const worksshift::event_ptr<event_base> base(event_base_new());
     const fake_platform platform(
-        base.get(), worksshift::parse_address("listen", given.text("listen", "127.0.0.1:9200")));
+        base.get(),
+        worksshift::parse_address("listen", command_line.text("listen", "127.0.0.1:9200")));
     fakes::run_until_stopped(base.get());
 }
--- a/test/fakes/main_fake_service.cpp
+++ b/test/fakes/main_fake_service.cpp
@@ -80,10 +80,11 @@
 
 int main(int count, char** values)
 {
-    const fakes::arguments given(count, values);
+    const fakes::arguments command_line(count, values);
     const worksshift::event_ptr<event_base> base(event_base_new());
     const fake_service service(
-        base.get(), worksshift::parse_address("listen", given.text("listen", "127.0.0.1:9100")),
-        given.number("delay-ms", 0));
+        base.get(),
+        worksshift::parse_address("listen", command_line.text("listen", "127.0.0.1:9100")),
+        command_line.number("delay-ms", 0));
     fakes::run_until_stopped(base.get());
 }
--- a/test/fakes/main_worksshift-load.cpp
+++ b/test/fakes/main_worksshift-load.cpp
@@ -12,26 +12,26 @@
 
 namespace {
 
-fakes::load_settings read_settings(const fakes::arguments& given)
+fakes::load_settings read_settings(const fakes::arguments& command_line)
 {
     fakes::load_settings options;
-    std::istringstream targets(given.text("targets", "127.0.0.1:8080"));
+    std::istringstream targets(command_line.text("targets", "127.0.0.1:8080"));
     for (std::string target; std::getline(targets, target, ',');) {
         options.targets.push_back(worksshift::parse_address("targets", target));
     }
-    options.model = given.text("model", options.model);
-    options.accounts = given.number("accounts", options.accounts);
-    options.zipf = given.real("zipf", options.zipf);
-    options.rate = given.real("rate", options.rate);
-    options.duration_s = given.real("duration-s", options.duration_s);
-    options.drain_s = given.real("drain-s", options.drain_s);
-    options.chats = given.number("chats", options.chats);
-    options.turns = given.number("turns", options.turns);
-    options.tokens = given.number("tokens", options.tokens);
-    options.prompt_characters = given.number("prompt-characters", options.prompt_characters);
-    options.deadline_ms = given.number("deadline-ms", options.deadline_ms);
-    options.stream = given.number("stream", 1) != 0;
-    options.seed = given.number("seed", 1);
+    options.model = command_line.text("model", options.model);
+    options.accounts = command_line.number("accounts", options.accounts);
+    options.zipf = command_line.real("zipf", options.zipf);
+    options.rate = command_line.real("rate", options.rate);
+    options.duration_s = command_line.real("duration-s", options.duration_s);
+    options.drain_s = command_line.real("drain-s", options.drain_s);
+    options.chats = command_line.number("chats", options.chats);
+    options.turns = command_line.number("turns", options.turns);
+    options.tokens = command_line.number("tokens", options.tokens);
+    options.prompt_characters = command_line.number("prompt-characters", options.prompt_characters);
+    options.deadline_ms = command_line.number("deadline-ms", options.deadline_ms);
+    options.stream = command_line.number("stream", 1) != 0;
+    options.seed = command_line.number("seed", 1);
     return options;
 }
 
@@ -47,11 +47,11 @@
 {
     try {
         std::signal(SIGPIPE, SIG_IGN);
-        const fakes::arguments given(count, values);
+        const fakes::arguments command_line(count, values);
         const worksshift::event_ptr<event_base> base(event_base_new());
-        fakes::load_run run(base.get(), read_settings(given));
+        fakes::load_run run(base.get(), read_settings(command_line));
         const nlohmann::json report = run.run();
-        if (given.number("table", 0) != 0) {
+        if (command_line.number("table", 0) != 0) {
             print_table(report);
         } else {
             std::cout << report.dump() << '\n';
--- a/test/soak/guarantee_checker.cpp
+++ b/test/soak/guarantee_checker.cpp
@@ -61,10 +61,10 @@
     return body;
 }
 
-asked_request& guarantee_checker::ask(const asked_request& request)
+request_record& guarantee_checker::record_request(const request_record& request)
 {
-    ++this->asked;
-    asked_request sent_request = request;
+    ++this->requests_sent;
+    request_record sent_request = request;
     sent_request.router_incarnation = this->incarnations[sent_request.router].number;
     this->recent.push_back(sent_request.id);
     this->arrivals_by_service[sent_request.route->service].first_attempts.push_back(
@@ -72,13 +72,13 @@
     return this->requests[sent_request.id] = sent_request;
 }
 
-asked_request* guarantee_checker::find(const std::string& id)
+request_record* guarantee_checker::find(const std::string& id)
 {
     const auto found = this->requests.find(id);
     return found == this->requests.end() ? nullptr : &found->second;
 }
 
-void guarantee_checker::report(const std::string& violation, const asked_request& sent_request)
+void guarantee_checker::report(const std::string& violation, const request_record& sent_request)
 {
     this->broken.push_back(violation + ": " + std::string(sent_request.route->path) + " " +
                            sent_request.id + " router=" + std::to_string(sent_request.router) +
@@ -104,7 +104,7 @@
     incarnation = {incarnation.number + 1, 0, {}, now, {}};
 }
 
-bool guarantee_checker::is_undisturbed(const asked_request& sent_request,
+bool guarantee_checker::is_undisturbed(const request_record& sent_request,
                                        bool must_be_running) const
 {
     const router_incarnation& incarnation = this->incarnations[sent_request.router];
@@ -138,7 +138,7 @@
 }
 
 /** The server must receive the caller's request, with the account instead of the API key. */
-void guarantee_checker::check_forwarded(const asked_request& sent_request,
+void guarantee_checker::check_forwarded(const request_record& sent_request,
                                         const std::string& request)
 {
     const std::string line = std::string(sent_request.route->method) + " " +
@@ -156,7 +156,7 @@
         this->report("the request body was changed", sent_request);
 }
 
-void guarantee_checker::check_leaving(const std::string& server, const asked_request& sent_request,
+void guarantee_checker::check_leaving(const std::string& server, const request_record& sent_request,
                                       instant now)
 {
     const auto left = this->leaving_since.find(server);
@@ -187,7 +187,7 @@
 void guarantee_checker::record_run(const std::string& server, const std::string& request,
                                    bool succeeds, instant now)
 {
-    asked_request* sent_request = this->find(header_in(request, "x-request-id"));
+    request_record* sent_request = this->find(header_in(request, "x-request-id"));
     if (sent_request == nullptr) {
         this->broken.push_back("run of an unknown request: " + request.substr(0, 80));
         return;
@@ -232,19 +232,19 @@
 
 void guarantee_checker::record_refusal(const std::string& request, instant now)
 {
-    const asked_request* sent_request = this->find(header_in(request, "x-request-id"));
+    const request_record* sent_request = this->find(header_in(request, "x-request-id"));
     if (sent_request != nullptr)
         this->check_retries(*sent_request->route, now, sent_request->runs > 0);
 }
 
 void guarantee_checker::record_run_end(const std::string& request)
 {
-    asked_request* sent_request = this->find(header_in(request, "x-request-id"));
+    request_record* sent_request = this->find(header_in(request, "x-request-id"));
     if (sent_request != nullptr && sent_request->active_runs > 0) --sent_request->active_runs;
 }
 
 /** A stream is written by servers of one version, which is that of the stream that it resumes. */
-void guarantee_checker::check_body(asked_request& sent_request, const std::string& received)
+void guarantee_checker::check_body(request_record& sent_request, const std::string& received)
 {
     const std::string body = body_in(received);
     const auto matches = [&](const std::string& version) {
@@ -269,7 +269,7 @@
     if (sent_request.complete && !sent_request.resumes.empty()) ++this->resumed;
 }
 
-bool guarantee_checker::had_server_fault(const asked_request& sent_request, instant now) const
+bool guarantee_checker::had_server_fault(const request_record& sent_request, instant now) const
 {
     return std::ranges::any_of(sent_request.servers, [&](const std::string& server) {
         const auto found = this->faulty_since.find(server);
@@ -278,7 +278,7 @@
 }
 
 bool guarantee_checker::may_have_been_held(const std::string& server,
-                                           const asked_request& sent_request) const
+                                           const request_record& sent_request) const
 {
     const auto found = this->link_faulty_since.find(server);
     return found != this->link_faulty_since.end() && found->second >= sent_request.sent;
@@ -291,7 +291,7 @@
     return "last fault " + std::to_string((now - found->second) / milliseconds(1)) + " ms ago";
 }
 
-bool guarantee_checker::may_be_cut_by_stop(const asked_request& sent_request, instant now) const
+bool guarantee_checker::may_be_cut_by_stop(const request_record& sent_request, instant now) const
 {
     const instant stopped = this->incarnations[sent_request.router].stopped;
     return stopped != instant{} && sent_request.sent <= stopped + early_in_a_stop &&
@@ -299,7 +299,7 @@
 }
 
 /** A correct server ran the request, and the caller got no complete response. */
-void guarantee_checker::check_lost(const asked_request& sent_request, instant now)
+void guarantee_checker::check_lost(const request_record& sent_request, instant now)
 {
     if (sent_request.complete || sent_request.left != instant{} ||
         sent_request.successful_runs == 0)
@@ -312,7 +312,7 @@
         this->report("the response was cut off", sent_request);
 }
 
-void guarantee_checker::check_key(const asked_request& sent_request)
+void guarantee_checker::check_key(const request_record& sent_request)
 {
     if (sent_request.status != unauthorized) return;
     if (sent_request.key_config_version == 0) {
@@ -327,7 +327,7 @@
         this->report("an API key in force was rejected", sent_request);
 }
 
-void guarantee_checker::record_response(asked_request& sent_request, const std::string& received,
+void guarantee_checker::record_response(request_record& sent_request, const std::string& received,
                                         instant now)
 {
     sent_request.answered = now;
--- a/test/soak/guarantee_checker.h
+++ b/test/soak/guarantee_checker.h
@@ -43,7 +43,7 @@
                           const std::string& version, unsigned after = 0);
 
 /** One request, as seen by its caller and by the servers. */
-struct asked_request {
+struct request_record {
     std::string id;
     const route_properties* route = nullptr;
     std::size_t router = 0;
@@ -92,14 +92,14 @@
 
     explicit guarantee_checker(std::size_t routers) : incarnations(routers) {}
 
-    asked_request& ask(const asked_request& request);
-    [[nodiscard]] asked_request* find(const std::string& id);
+    request_record& record_request(const request_record& request);
+    [[nodiscard]] request_record* find(const std::string& id);
     void record_run(const std::string& server, const std::string& request, bool succeeds,
                     worksshift::instant now);
     void record_refusal(const std::string& request, worksshift::instant now);
     void record_run_end(const std::string& request);
     /** Called when the response is complete or the caller's connection has ended. */
-    void record_response(asked_request& sent_request, const std::string& received,
+    void record_response(request_record& sent_request, const std::string& received,
                          worksshift::instant now);
     /** Checks the guarantees whose deadline has passed, and forgets old requests. */
     void check(worksshift::instant now);
@@ -134,7 +134,7 @@
     }
 
     std::vector<std::string> broken;
-    std::size_t asked = 0;
+    std::size_t requests_sent = 0;
     std::size_t served = 0;
     std::size_t resumed = 0; ///< streams that callers took up and that were served to their end
     std::map<int, std::size_t> by_status; ///< responses to callers that did not leave; 0: none
@@ -148,33 +148,33 @@
         worksshift::instant stopped{};
     };
 
-    void report(const std::string& violation, const asked_request& sent_request);
-    void check_forwarded(const asked_request& sent_request, const std::string& request);
-    void check_leaving(const std::string& server, const asked_request& sent_request,
+    void report(const std::string& violation, const request_record& sent_request);
+    void check_forwarded(const request_record& sent_request, const std::string& request);
+    void check_leaving(const std::string& server, const request_record& sent_request,
                        worksshift::instant now);
     void check_retries(const route_properties& route, worksshift::instant now, bool is_retry);
-    void check_body(asked_request& sent_request, const std::string& received);
+    void check_body(request_record& sent_request, const std::string& received);
     /** Whether a server that ran it, or the connections to that server, had a fault recently. */
-    [[nodiscard]] bool had_server_fault(const asked_request& sent_request,
+    [[nodiscard]] bool had_server_fault(const request_record& sent_request,
                                         worksshift::instant now) const;
     /** Whether the way to the server may have held the request on its way there. */
     [[nodiscard]] bool may_have_been_held(const std::string& server,
-                                          const asked_request& sent_request) const;
+                                          const request_record& sent_request) const;
     /** When the server or the connections to it last had a fault, for reports. */
     [[nodiscard]] std::string describe_fault(const std::string& server,
                                              worksshift::instant now) const;
-    void check_lost(const asked_request& sent_request, worksshift::instant now);
-    [[nodiscard]] bool may_be_cut_by_stop(const asked_request& sent_request,
+    void check_lost(const request_record& sent_request, worksshift::instant now);
+    [[nodiscard]] bool may_be_cut_by_stop(const request_record& sent_request,
                                           worksshift::instant now) const;
-    void check_key(const asked_request& sent_request);
+    void check_key(const request_record& sent_request);
     /** Whether the router had no fault from min_undisturbed_time before the request until now; with
      * \p must_be_running, whether it was not asked to stop either. */
-    [[nodiscard]] bool is_undisturbed(const asked_request& sent_request,
+    [[nodiscard]] bool is_undisturbed(const request_record& sent_request,
                                       bool must_be_running) const;
     [[nodiscard]] worksshift::instant replaced_at(std::uint64_t version) const;
     [[nodiscard]] worksshift::instant confirmed_at(std::uint64_t version) const;
 
-    std::map<std::string, asked_request> requests;
+    std::map<std::string, request_record> requests;
     std::deque<std::string> recent; ///< ids, oldest first
     std::vector<confirmed_config> configs;
     std::map<std::string, worksshift::instant> leaving_since;
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -71,7 +71,7 @@
         const soak::guarantee_checker& guarantees = run.checker();
         for (const std::string& violation : guarantees.broken)
             std::cout << "seed=" << seed << " broken=\"" << violation << "\"\n";
-        std::cout << "seed=" << seed << " requests=" << guarantees.asked
+        std::cout << "seed=" << seed << " requests=" << guarantees.requests_sent
                   << " served=" << guarantees.served << " resumed=" << guarantees.resumed
                   << " stalls=" << run.stalls;
         for (const auto& [status, requests] : guarantees.by_status)
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -114,7 +114,7 @@
         return {{{{}, response_text(503, request, "", "X-Not-Executed: 1\r\n")}},
                 response_end::keep};
     }
-    const asked_request* sent_request = this->guarantees.find(header_in(request, "x-request-id"));
+    const request_record* sent_request = this->guarantees.find(header_in(request, "x-request-id"));
     constexpr std::size_t first_correct_behaviour = 7;
     this->guarantees.record_run(server, request, behaviour >= first_correct_behaviour, time);
     if (sent_request == nullptr) return {};
@@ -272,7 +272,7 @@
         if (!from.request_id.empty()) {
             this->update_request(from);
         } else if (this->now >= from.next) {
-            this->ask(from);
+            this->send_request(from);
         }
     }
 }
@@ -286,7 +286,7 @@
 }
 
 /** Sends the next request; opens a connection to a random router if none is open. */
-void soak_run::ask(caller& from)
+void soak_run::send_request(caller& from)
 {
     if (from.connection == nullptr || from.connection->closed) {
         from.router = from.back_to_back ? this->back_to_back_random() % this->fleet.routers.size()
@@ -294,7 +294,7 @@
         from.connection = this->fleet.connect(from.router);
     }
     from.connection->received.clear();
-    asked_request sent_request;
+    request_record sent_request;
     sent_request = std::exchange(from.broken, {});
     if (sent_request.route == nullptr) sent_request.route = &this->draw_route(from);
     sent_request.id = "q" + std::to_string(this->next_id++);
@@ -307,7 +307,7 @@
     from.request_id = sent_request.id;
     const bool leaves = !from.back_to_back && this->draw(12) == 0;
     from.leave_at = leaves ? this->now + this->draw_span(1, 150) : instant{};
-    this->guarantees.ask(sent_request);
+    this->guarantees.record_request(sent_request);
     const bool is_post = sent_request.route->method == "POST";
     std::string text = support::request_text(std::string(sent_request.route->method),
                                              std::string(sent_request.route->path), sent_request.id,
@@ -326,7 +326,7 @@
 }
 
 /** The caller takes up a stream that broke off after its first event. */
-void soak_run::remember_broken_stream(caller& from, const asked_request& sent_request)
+void soak_run::remember_broken_stream(caller& from, const request_record& sent_request)
 {
     const bool broken = sent_request.route->stream && sent_request.route->repeatable &&
                         !sent_request.complete && !sent_request.version.empty();
@@ -344,7 +344,7 @@
 
 void soak_run::update_request(caller& from)
 {
-    asked_request* sent_request = this->guarantees.find(from.request_id);
+    request_record* sent_request = this->guarantees.find(from.request_id);
     const std::string& received = from.connection->received;
     const bool ended = from.connection->closed || support::is_complete_response(received);
     if (sent_request != nullptr && ended)
@@ -537,12 +537,12 @@
     for (std::size_t router = 0; router < this->fleet.routers.size(); ++router) {
         bool served = false;
         while (!served && this->now < end) {
-            asked_request probe;
+            request_record probe;
             probe.id = "last" + std::to_string(this->next_id++);
             probe.route = routes().data();
             probe.router = router;
             probe.sent = this->now;
-            this->guarantees.ask(probe);
+            this->guarantees.record_request(probe);
             const auto connection = this->fleet.connect(router);
             std::string text = support::request_text("GET", "/safe/x", probe.id);
             connection->send(text.replace(text.find(": k1") + 2, 2, api_key));
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -41,7 +41,7 @@
         std::string request_id;         ///< id of the request in flight; empty: none
         worksshift::instant next{};     ///< time of the next request
         worksshift::instant leave_at{}; ///< the epoch: never
-        asked_request broken;           ///< stream to take up next; without id: none
+        request_record broken;          ///< stream to take up next; without id: none
     };
     struct proxied_server {
         std::string id;
@@ -65,9 +65,9 @@
     void update_routers();
     void update_callers();
     void update_faults();
-    void ask(caller& from);
+    void send_request(caller& from);
     void update_request(caller& from);
-    static void remember_broken_stream(caller& from, const asked_request& sent_request);
+    static void remember_broken_stream(caller& from, const request_record& sent_request);
     void inject_random_fault();
     void do_planned_work();
     void inject_router_fault(std::size_t router);
--- a/test/support/core_fleet.cpp
+++ b/test/support/core_fleet.cpp
@@ -40,7 +40,7 @@
     return options;
 }
 
-core_fleet::core_fleet(const core_options& given) : options(given), random(options.seed)
+core_fleet::core_fleet(const core_options& settings) : options(settings), random(options.seed)
 {
     this->clock = instant{} + std::chrono::hours(1);
     this->current.revision = 1;
--- a/test/support/digest_fleet.cpp
+++ b/test/support/digest_fleet.cpp
@@ -119,19 +119,19 @@
     state.busy = item.busy;
     this->known_store_state(item).describe(state.digest, this->now);
     if (this->describe) this->describe(vm, state);
-    for (const outgoing_digest& made : item.rounds.next(std::move(state), this->now)) {
-        for (const std::uint32_t address : made.to) {
+    for (const outgoing_digest& digest : item.rounds.next(std::move(state), this->now)) {
+        for (const std::uint32_t address : digest.to) {
             const std::size_t to = vm_at(address);
-            item.bytes_sent += made.bytes.size();
+            item.bytes_sent += digest.bytes.size();
             if (this->data_centre_of(to) != this->data_centre_of(vm)) {
-                item.bytes_to_other_centres += made.bytes.size();
+                item.bytes_to_other_centres += digest.bytes.size();
             }
             const bool lost = std::uniform_real_distribution<>()(this->random) < this->loss;
             if (lost || this->cut.contains(std::minmax(vm, to))) continue;
             const auto delay = std::uniform_int_distribution<duration::rep>(
                 min_delay.count(), max_delay.count())(this->random);
             this->network.push(
-                {this->now + duration(delay), this->datagrams_sent++, vm, to, made.bytes});
+                {this->now + duration(delay), this->datagrams_sent++, vm, to, digest.bytes});
         }
     }
 }
--- a/test/support/fleet.cpp
+++ b/test/support/fleet.cpp
@@ -43,8 +43,8 @@
 
 std::string log_directory()
 {
-    const char* given = std::getenv("WORKSSHIFT_TEST_LOGS");
-    return given == nullptr ? std::string() : std::string(given);
+    const char* directory = std::getenv("WORKSSHIFT_TEST_LOGS");
+    return directory == nullptr ? std::string() : std::string(directory);
 }
 
 sockaddr_in loopback_address(std::uint16_t port)
@@ -293,7 +293,7 @@
     return fakes::stream_text(fakes::answer_key(chat_body(text, tokens, true)), tokens);
 }
 
-fleet::fleet(fleet_options given) : options(std::move(given))
+fleet::fleet(fleet_options settings) : options(std::move(settings))
 {
     const auto data_centre = [this](std::size_t i) {
         return "dc-" + std::to_string(i % this->options.data_centres);
@@ -476,9 +476,9 @@
 
 reply fleet::change(std::size_t router_index, const nlohmann::json& intent) const
 {
-    const reply made = this->admin(router_index, "POST", "/admin/plans", intent.dump());
-    if (made.status != 201) return made;
-    const std::string id = made.json()["id"];
+    const reply created = this->admin(router_index, "POST", "/admin/plans", intent.dump());
+    if (created.status != 201) return created;
+    const std::string id = created.json()["id"];
     return this->admin(router_index, "POST", "/admin/plans/" + id + "/confirm");
 }
 
--- a/test/support/path_rig.cpp
+++ b/test/support/path_rig.cpp
@@ -56,13 +56,13 @@
     item->socket.reset(bufferevent_socket_new(this->base, socket, BEV_OPT_CLOSE_ON_FREE));
     bufferevent_setcb(
         item->socket.get(),
-        [](bufferevent*, void* given) {
-            auto* found = static_cast<connection*>(given);
+        [](bufferevent*, void* context) {
+            auto* found = static_cast<connection*>(context);
             found->owner->read(*found);
         },
         nullptr,
-        [](bufferevent*, short what, void* given) {
-            auto* found = static_cast<connection*>(given);
+        [](bufferevent*, short what, void* context) {
+            auto* found = static_cast<connection*>(context);
             if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0 || found->is_closed) return;
             found->is_closed = true;
             ++found->owner->closed;
@@ -97,24 +97,24 @@
         const std::string request = item.bytes.substr(0, size);
         item.bytes.erase(0, size);
         this->requests.push_back(request);
-        const scripted_response given = this->answer(request);
+        const scripted_response response = this->answer(request);
         const evutil_socket_t socket = bufferevent_getfd(item.socket.get());
-        if (!given.bytes.empty()) {
+        if (!response.bytes.empty()) {
             const ssize_t sent =
-                ::send(socket, given.bytes.data(), given.bytes.size(), MSG_NOSIGNAL);
+                ::send(socket, response.bytes.data(), response.bytes.size(), MSG_NOSIGNAL);
             // The rest of a large response is sent as the router reads.
             const std::size_t done = sent < 0 ? 0 : static_cast<std::size_t>(sent);
-            if (done < given.bytes.size()) {
-                bufferevent_write(item.socket.get(), given.bytes.data() + done,
-                                  given.bytes.size() - done);
+            if (done < response.bytes.size()) {
+                bufferevent_write(item.socket.get(), response.bytes.data() + done,
+                                  response.bytes.size() - done);
             }
         }
-        if (given.after == scripted_response::then::close) ::shutdown(socket, SHUT_WR);
-        if (given.after == scripted_response::then::reset) {
+        if (response.after == scripted_response::then::close) ::shutdown(socket, SHUT_WR);
+        if (response.after == scripted_response::then::reset) {
             reset(item);
             return;
         }
-        if (given.after == scripted_response::then::end) {
+        if (response.after == scripted_response::then::end) {
             this->end();
             return;
         }
--- a/test/support/store_fleet.cpp
+++ b/test/support/store_fleet.cpp
@@ -67,25 +67,25 @@
 {
     if (this->silent || now - call.requested_at < store_delay) return {};
     if (this->refused.contains(call.vm)) return {verdict::refused, {}};
-    answer made;
-    made.page.revision = this->visible(call.read.mode, now);
+    answer response;
+    response.page.revision = this->visible(call.read.mode, now);
     if (std::holds_alternative<list_read>(call.read.operation)) {
-        made.result = verdict::page;
-        for (const auto& [name, object] : this->objects(call.kind, made.page.revision))
-            made.page.objects.push_back(object);
-        return made;
+        response.result = verdict::page;
+        for (const auto& [name, object] : this->objects(call.kind, response.page.revision))
+            response.page.objects.push_back(object);
+        return response;
     }
     const auto& watch = std::get<watch_read>(call.read.operation);
     if (watch.revision < this->history_from) return {verdict::gone, {}};
     for (const change& each : this->log) {
         const std::uint64_t at = each.object.revision;
-        if (each.kind == call.kind && at > watch.revision && at <= made.page.revision) {
-            made.page.objects.push_back(each.object);
+        if (each.kind == call.kind && at > watch.revision && at <= response.page.revision) {
+            response.page.objects.push_back(each.object);
         }
     }
     const bool over = now - call.requested_at >= watch.wait;
-    made.result = over || !made.page.objects.empty() ? verdict::page : verdict::none;
-    return made;
+    response.result = over || !response.page.objects.empty() ? verdict::page : verdict::none;
+    return response;
 }
 
 store_fleet::store_fleet(std::size_t count, std::size_t centres, std::uint64_t seed)
@@ -349,14 +349,14 @@
                       });
     if (peer == nullptr) return;
     this->follow_of(vm, kind).fetching.begin();
-    const auto asked = this->vms.find(digest_fleet::vm_at(peer->address));
+    const auto peer_vm = this->vms.find(digest_fleet::vm_at(peer->address));
     const bool is_running = this->fleet.vms.contains(digest_fleet::vm_at(peer->address));
     peer_answer answer{
         vm, kind, now, now + (is_running ? peer_delay : peer_fetch_schedule::call_timeout), {}, 0};
-    if (is_running && config) answer.version = asked->second.version;
+    if (is_running && config) answer.version = peer_vm->second.version;
     if (is_running && !config) {
-        answer.update = asked->second.feed.since(item.feed.revision());
-        answer.update->retained = asked->second.servers_in_use.retained_servers(now);
+        answer.update = peer_vm->second.feed.since(item.feed.revision());
+        answer.update->retained = peer_vm->second.servers_in_use.retained_servers(now);
     }
     this->answers.push_back(answer);
 }
