The setting first-start counts for the first ten seconds only

"The fleet is new" held as long as the process ran, for every service that it saw for the first time.

Change: it holds for ten seconds after the start. A version seen first after that counts from then on, as on any other VM.

Measured: unnamed_stream_of_a_service_that_came_later fails if the time is ignored (the stream goes on) and passes; error/streams_of_two_software_versions 20 passed, correctness/streams_go_on 2 passed.

--- a/src/router.cpp
+++ b/src/router.cpp
@@ -24,6 +24,9 @@
 /** The same for a digest that tells which limits of servers are in force. There is none if the
  * whole fleet has just started. */
 constexpr duration max_limits_wait = milliseconds(250);
+/** How long a fleet that started for the first time is new. It ends soon, since a VM that cannot
+ * read the registry at first may miss a version of a service. */
+constexpr duration new_fleet_period = seconds(10);
 constexpr duration assignment_period = milliseconds(100);
 constexpr duration suspects_announce_period = milliseconds(500);
 /** Digests carry request rates in tenths of a request per second, as a 16-bit number. */
@@ -87,7 +90,7 @@
     raise_file_limit();
     this->path.set_retry_budget(this->options.retries);
     this->path.shutdown().set_grace(this->options.stop_grace);
-    this->servers.fleet_is_new = this->options.first_start;
+    if (this->options.first_start) this->servers.fleet_is_new_until = now() + new_fleet_period;
     this->apply_placement();
     this->settings_text = read_file(this->options.file);
     this->connect_signals();
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -405,7 +405,8 @@
 
 void server_table::observe_versions(service_state& group, instant now) const
 {
-    const instant known_since = this->fleet_is_new ? now - stream_origins::lifetime : now;
+    const instant known_since =
+        now < this->fleet_is_new_until ? now - stream_origins::lifetime : now;
     for (const server_entry* row : group.rows)
         group.versions.observe(row->software, known_since, now);
 }
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -277,8 +277,9 @@
      * periods. */
     void sweep(instant now = {});
 
-    /** The whole fleet starts for the first time, so that no stream can have begun before. */
-    bool fleet_is_new = false;
+    /** Until then the fleet is so new that no stream can have begun at a version that is not seen;
+     * the epoch: the fleet is not new. */
+    instant fleet_is_new_until{};
     /** When the loads reported by the other VMs were last summed up. */
     instant peers_summed_at{};
 
--- a/test/error/streams_of_two_software_versions.cpp
+++ b/test/error/streams_of_two_software_versions.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(unnamed_stream_at_a_vm_that_has_just_started);
     CPPUNIT_TEST(unnamed_stream_after_the_last_server_of_its_version);
     CPPUNIT_TEST(unnamed_stream_of_a_new_fleet);
+    CPPUNIT_TEST(unnamed_stream_of_a_service_that_came_later);
     CPPUNIT_TEST(named_stream_after_all_vms_restarted);
     CPPUNIT_TEST(relayed_stream_is_resumed);
     CPPUNIT_TEST(caller_resumes_a_relayed_stream);
@@ -365,7 +366,7 @@
     /** Guards against refusing streams although none can have begun before the fleet's start. */
     void unnamed_stream_of_a_new_fleet()
     {
-        this->rig->table.fleet_is_new = true;
+        this->rig->table.fleet_is_new_until = std::chrono::steady_clock::now() + seconds(10);
         this->rig->add_server("a", "llm", completes_streams("v1"), "v1");
         this->rig->table.sweep(std::chrono::steady_clock::now());
         CPPUNIT_ASSERT(is_complete(this->resume_unnamed("1")));
@@ -373,6 +374,18 @@
         CPPUNIT_ASSERT(is_refused(this->resume_unnamed("2")));
     }
 
+    /** Guards against a VM of a fleet that was new once, which was cut off while a service came and
+     * its first version left, and takes the version that it sees first for the only one. */
+    void unnamed_stream_of_a_service_that_came_later()
+    {
+        this->rig->table.fleet_is_new_until = std::chrono::steady_clock::now() - seconds(1);
+        const scripted_server& server =
+            this->rig->add_server("b", "llm", completes_streams("v2"), "v2");
+        this->rig->table.sweep(std::chrono::steady_clock::now());
+        CPPUNIT_ASSERT(is_refused(this->resume_unnamed("1")));
+        CPPUNIT_ASSERT(server.requests.empty());
+    }
+
     /** Guards against a guess when no VM that knew the stream is left. */
     void named_stream_after_all_vms_restarted()
     {
