Standby watchers replace VMs that no longer read the store

What callers saw: both VMs that read the store linearizably for all were lost with their data centres, refused by the store or had their connections reset, and a change followed 0.1 s later. For 4.0 s all other VMs, which were sound and reached the store, used the old configuration and servers that had left (2 to 4 s are allowed).

Cause: that somebody reads the newest state was believed by two signs that change late. VMs elsewhere count as alive for 5 s, and the last linearizable answer to any VM might be 6 s old.

Change: VMs whose linearizable watches are answered tell the standby watchers so every 250 ms, and at once when they cease to; digests name them. The pause between two stale watches, 1.5 s, no longer delays a linearizable one.

Why it works: the notices come from the readers themselves and state what is needed, not that a VM is alive, so each kind of loss ends them; those who can take over hear them directly.

--- a/src/config_follower.h
+++ b/src/config_follower.h
@@ -41,6 +41,11 @@
     [[nodiscard]] const router_config_ptr& config() const { return this->current; }
     [[nodiscard]] std::uint64_t version() const;
     [[nodiscard]] bool receives_updates() const { return this->follow.watch.receives_updates(); }
+    /** Whether this VM reads the store linearizably, and the store answers. */
+    [[nodiscard]] bool reads_linearizably() const
+    {
+        return this->follow.watch.reads_linearizably();
+    }
     [[nodiscard]] std::uint64_t store_calls(read_mode mode) const
     {
         return this->client.calls(mode);
--- a/src/fleet_digest.cpp
+++ b/src/fleet_digest.cpp
@@ -91,6 +91,18 @@
     archive(item.address, item.data_centre, item.age);
 }
 
+template <class Archive>
+void serialize(Archive& archive, store_reader_report& item)
+{
+    archive(item.address, item.age);
+}
+
+template <class Archive>
+void serialize(Archive& archive, store_reader_notice& item)
+{
+    archive(item.format, item.reads_store);
+}
+
 template <class Archive>
 void save(Archive& archive, const load_part& item)
 {
@@ -123,7 +135,8 @@
     // Fields at the end are left out together with all after them.
     std::vector<std::uint8_t> paces(item.reported_loads.size());
     std::ranges::transform(item.reported_loads, paces.begin(), &reported_load::pace);
-    const bool has_engine_requests = !item.engine_requests.empty();
+    const bool has_store_readers = !item.store_readers.empty();
+    const bool has_engine_requests = has_store_readers || !item.engine_requests.empty();
     const bool has_paces = has_engine_requests ||
                            std::ranges::any_of(paces, [](std::uint8_t pace) { return pace != 0; });
     const bool has_limits = has_paces || !item.limits.empty();
@@ -135,6 +148,7 @@
     if (has_limits) save_items(archive, item.limits);
     if (has_paces) save_items(archive, paces);
     if (has_engine_requests) save_items(archive, item.engine_requests);
+    if (has_store_readers) save_items(archive, item.store_readers);
 }
 
 template <class Archive>
@@ -165,6 +179,25 @@
     return stream.str();
 }
 
+std::string encode(const store_reader_notice& notice)
+{
+    std::ostringstream stream;
+    {
+        cereal::PortableBinaryOutputArchive archive(stream);
+        archive(notice);
+    }
+    return stream.str();
+}
+
+gossip_datagram decode_datagram(std::string_view bytes, const std::string& peer)
+{
+    for (const bool reads_store : {false, true}) {
+        const store_reader_notice notice{.reads_store = reads_store};
+        if (bytes == encode(notice)) return notice;
+    }
+    return decode_digest(bytes, peer);
+}
+
 fleet_digest decode_digest(std::string_view bytes, const std::string& peer)
 {
     try {
@@ -185,6 +218,7 @@
         for (std::size_t i = 0; i < known; ++i)
             digest.reported_loads[i].pace = paces[i];
         if (has_more()) load_items(archive, digest.engine_requests);
+        if (has_more()) load_items(archive, digest.store_readers);
         return digest;
     } catch (const std::exception& fault) {
         throw peer_error("digest", peer, fault.what());
--- a/src/fleet_digest.h
+++ b/src/fleet_digest.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 #include "ids.h"
@@ -135,6 +136,17 @@
     std::uint8_t age = 0;          ///< time since it was last seen, in units of 100 ms
 };
 
+/** When a VM was last known to read the store linearizably. */
+struct store_reader_report {
+    std::uint32_t address = 0; ///< IPv4, host order
+    std::uint8_t age = 0;      ///< in units of `store_reader_age_unit`, rounded up
+
+    auto operator<=>(const store_reader_report&) const = default;
+};
+constexpr duration store_reader_age_unit = milliseconds(50);
+/** Maximum number of VMs that read the store linearizably in one digest. */
+constexpr std::size_t max_reported_store_readers = 4;
+
 /** State of one VM, as reported by that VM. */
 struct fleet_digest {
     std::uint8_t format = 8;
@@ -179,11 +191,25 @@
     std::uint16_t local_members = 0;
     std::vector<service_limit> limits; ///< in force
     // After `limits`, the paces of `reported_loads` in their order, if any is known.
-    std::vector<service_requests> engine_requests; ///< also of services without requests in flight
+    std::vector<service_requests> engine_requests;  ///< also of services without requests in flight
+    std::vector<store_reader_report> store_readers; ///< including the sender, if it is one
 };
 
+/** Tells the VMs that watch the store whether the sender reads it linearizably. Sent at short
+ * intervals by those that do. */
+struct store_reader_notice {
+    std::uint8_t format = 128; ///< distinguishes it from a digest
+    bool reads_store = false;
+};
+
+/** What VMs send each other by UDP. */
+using gossip_datagram = std::variant<fleet_digest, store_reader_notice>;
+
 std::string encode(const fleet_digest& digest);
+std::string encode(const store_reader_notice& notice);
 /** \throws peer_error if the bytes are not a digest of the supported format. */
 fleet_digest decode_digest(std::string_view bytes, const std::string& peer);
+/** \throws peer_error if the bytes are neither a notice nor a digest of the supported format. */
+gossip_datagram decode_datagram(std::string_view bytes, const std::string& peer);
 
 } // namespace worksshift
--- a/src/fleet_gossip.cpp
+++ b/src/fleet_gossip.cpp
@@ -7,6 +7,7 @@
 #include "errors.h"
 #include "log.h"
 #include "process.h"
+#include "visitor.h"
 
 namespace worksshift {
 
@@ -40,9 +41,8 @@
 fleet_gossip::fleet_gossip(event_base* base, const link_address& listen,
                            const data_centre_id& data_centre, std::span<const link_address> seeds)
     : own(listen), rounds(identify(listen, data_centre), all_to_host_order(seeds), now()),
-      socket(base, listen, [this](std::uint32_t from, std::string_view bytes) {
-          this->apply_digest(from, bytes);
-      })
+      socket(base, listen,
+             [this](std::uint32_t from, std::string_view bytes) { this->receive(from, bytes); })
 {
 }
 
@@ -56,32 +56,46 @@
     this->rounds.add_seeds(all_to_host_order(seeds), now());
 }
 
-void fleet_gossip::tick(instant time, const std::function<local_state()>& describe)
+void fleet_gossip::tick(instant time, bool reads_store,
+                        const std::function<local_state()>& describe)
 {
+    if (const auto notice = this->rounds.next_notice(reads_store, time)) this->send(*notice);
     if (!this->rounds.due(time)) return;
-    for (const outgoing_digest& digest : this->rounds.next(describe(), time)) {
-        for (const std::uint32_t address : digest.to)
-            this->socket.send(address, digest.bytes);
-        this->sent_bytes += digest.bytes.size() * digest.to.size();
-    }
+    for (const outgoing_digest& digest : this->rounds.next(describe(), time))
+        this->send(digest);
+}
+
+void fleet_gossip::send(const outgoing_digest& message)
+{
+    for (const std::uint32_t address : message.to)
+        this->socket.send(address, message.bytes);
+    this->sent_bytes += message.bytes.size() * message.to.size();
 }
 
-void fleet_gossip::apply_digest(std::uint32_t from, std::string_view bytes)
+void fleet_gossip::receive(std::uint32_t from, std::string_view bytes)
 {
     try {
-        fleet_table& fleet = this->rounds.fleet();
-        const auto entry = fleet.vms().find(from);
-        const bool known =
-            entry != fleet.vms().end() && entry->second.last_received_at != instant{};
-        const fleet_vm* sender =
-            fleet.apply_digest(from, decode_digest(bytes, to_text(from)), now());
-        if (sender == nullptr) return;
-        if (!known) log_event(log_level::info, "vm_found", {{"peer", to_text(from)}});
-        this->on_digest.emit(*sender);
+        std::visit(
+            visitor{[&](fleet_digest&& digest) { this->apply_digest(from, std::move(digest)); },
+                    [&](const store_reader_notice& notice) {
+                        this->rounds.fleet().apply_notice(from, notice, now());
+                    }},
+            decode_datagram(bytes, to_text(from)));
     } catch (const error& fault) {
         log_event(log_level::warn, "digest_refused",
                   {{"peer", to_text(from)}, {"reason", fault.what()}});
     }
 }
 
+void fleet_gossip::apply_digest(std::uint32_t from, fleet_digest digest)
+{
+    fleet_table& fleet = this->rounds.fleet();
+    const auto entry = fleet.vms().find(from);
+    const bool known = entry != fleet.vms().end() && entry->second.last_received_at != instant{};
+    const fleet_vm* sender = fleet.apply_digest(from, std::move(digest), now());
+    if (sender == nullptr) return;
+    if (!known) log_event(log_level::info, "vm_found", {{"peer", to_text(from)}});
+    this->on_digest.emit(*sender);
+}
+
 } // namespace worksshift
--- a/src/fleet_gossip.h
+++ b/src/fleet_gossip.h
@@ -32,8 +32,9 @@
     fleet_gossip(fleet_gossip&&) = delete;
     fleet_gossip& operator=(fleet_gossip&&) = delete;
 
-    /** Sends a round of digests if one is due. */
-    void tick(instant now, const std::function<local_state()>& describe);
+    /** Sends a round of digests if one is due, and notices if \p reads_store: the store answers
+     * linearizable watches of this VM. */
+    void tick(instant now, bool reads_store, const std::function<local_state()>& describe);
     /** Adds VMs to contact. */
     void add_seeds(std::span<const link_address> seeds);
     /** Sends the next round early, as after a change that others should learn soon. */
@@ -51,7 +52,9 @@
     sigc::signal<void(const fleet_vm&)> on_digest;
 
 private:
-    void apply_digest(std::uint32_t from, std::string_view bytes);
+    void receive(std::uint32_t from, std::string_view bytes);
+    void apply_digest(std::uint32_t from, fleet_digest digest);
+    void send(const outgoing_digest& message);
 
     link_address own;
     fleet_rounds rounds;
--- a/src/fleet_rounds.cpp
+++ b/src/fleet_rounds.cpp
@@ -37,6 +37,7 @@
     digest.data_centre = this->table.self().data_centre;
     digest.period_ms = static_cast<std::uint16_t>(this->round_period / milliseconds(1));
     digest.joining = this->table.is_joining(now);
+    digest.store_readers = this->table.store_reader_reports(state.reads_store, now);
     this->table.update_share(now);
     digest.local_members = this->table.local_members_hash();
     this->table.count_vms(now);
@@ -46,6 +47,7 @@
     messages.push_back(this->make_local_digest(digest, now));
     digest.crash_reports = std::move(state.remote_crash_reports);
     this->add_remote_digests(messages, digest, now);
+    if (digest.watches_store) this->add_digest_to_readers(messages, digest, now);
     messages.push_back(this->make_member_list(digest, now));
     messages.push_back(this->make_joining_digest(digest, now));
     ++this->rounds;
@@ -67,6 +69,7 @@
     this->round_period = std::clamp(std::chrono::duration_cast<duration>(required_period),
                                     duration(min_digest_period), duration(max_digest_period));
     this->loads.set_period(this->round_period);
+    this->table.set_period(this->round_period);
 }
 
 outgoing_digest fleet_rounds::make_local_digest(fleet_digest digest, instant now)
@@ -97,6 +100,40 @@
     }
 }
 
+/** VMs that watch the store contact those of other data centres that read it linearizably, which
+ * send them notices in turn. */
+void fleet_rounds::add_digest_to_readers(std::vector<outgoing_digest>& messages,
+                                         fleet_digest digest, instant now)
+{
+    std::vector<std::uint32_t> readers = this->table.store_readers(now);
+    std::erase_if(readers, [&](std::uint32_t address) {
+        return this->table.is_local(this->table.vms().at(address)) ||
+               std::ranges::any_of(messages, [address](const outgoing_digest& message) {
+                   return std::ranges::find(message.to, address) != message.to.end();
+               });
+    });
+    if (readers.empty()) return;
+    digest.sequence = ++this->sequence;
+    digest.vms = this->table.liveness_reports(liveness_reports_per_digest, this->delegates, now);
+    messages.push_back({encode(digest), std::move(readers)});
+}
+
+std::optional<outgoing_digest> fleet_rounds::next_notice(bool reads_store, instant now)
+{
+    const bool changed = std::exchange(this->noticed_reading, reads_store) != reads_store;
+    if (changed && !reads_store) this->stop_notices_left = store_reader_stop_notices;
+    if (!reads_store && this->stop_notices_left == 0) return std::nullopt;
+    if (!changed && now - this->notice_sent_at < store_reader_notice_period) return std::nullopt;
+    if (!reads_store) --this->stop_notices_left;
+    this->notice_sent_at = now;
+    outgoing_digest notice{encode(store_reader_notice{.reads_store = reads_store}), {}};
+    for (const auto& [address, vm] : this->table.vms()) {
+        if (vm.last.watches_store && fleet_table::is_responsive(vm, now))
+            notice.to.push_back(address);
+    }
+    return notice;
+}
+
 /** Digest with all members of the data centre, for some VMs that are joining and count others. */
 outgoing_digest fleet_rounds::make_member_list(fleet_digest digest, instant now)
 {
--- a/src/fleet_rounds.h
+++ b/src/fleet_rounds.h
@@ -6,6 +6,7 @@
  */
 #pragma once
 
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -24,6 +25,10 @@
 constexpr duration max_digest_period = seconds(2);
 /** Minimum interval between a round that is sent early and the previous round. */
 constexpr duration min_early_digest_period = milliseconds(50);
+/** Interval between two notices of a VM that reads the store linearizably. */
+constexpr duration store_reader_notice_period = milliseconds(250);
+/** How often a VM tells that it no longer reads so, as notices may be lost. */
+constexpr int store_reader_stop_notices = 3;
 /** Silent VMs of the same data centre are sent a digest in one of this many rounds. */
 constexpr unsigned silent_vm_retry_rounds = 8;
 /** Liveness reports in a digest: to any VM, and to a VM that is joining. */
@@ -39,6 +44,7 @@
     std::vector<crash_report> remote_crash_reports; ///< for VMs of other data centres
     std::size_t servers = 0;                        ///< in the registry
     std::vector<std::uint32_t> busy;                ///< servers near their load bound
+    bool reads_store = false; ///< linearizable watches of this VM are answered by the store
 };
 
 /** One datagram and the VMs that it goes to. */
@@ -60,6 +66,9 @@
     [[nodiscard]] bool due(instant now) const { return now >= this->next_round; }
     /** The datagrams of the round that is due. */
     std::vector<outgoing_digest> next(local_state state, instant now);
+    /** The notice that is due to the VMs that watch the store; std::nullopt if none is.
+     * \p reads_store: whether this VM reads the store linearizably. */
+    std::optional<outgoing_digest> next_notice(bool reads_store, instant now);
     /** Adds VMs to contact, such as those that reloaded settings name. */
     void add_seeds(std::span<const std::uint32_t> seeds, instant now);
     /** Sends the next round early, as after a change that others should learn soon. */
@@ -78,6 +87,8 @@
     outgoing_digest make_local_digest(fleet_digest digest, instant now);
     void add_remote_digests(std::vector<outgoing_digest>& messages, fleet_digest digest,
                             instant now);
+    void add_digest_to_readers(std::vector<outgoing_digest>& messages, fleet_digest digest,
+                               instant now);
     outgoing_digest make_joining_digest(fleet_digest digest, instant now);
     outgoing_digest make_member_list(fleet_digest digest, instant now);
     void update_period(std::span<const outgoing_digest> sent);
@@ -90,6 +101,9 @@
     duration round_period = min_digest_period;
     instant last_round{};
     instant next_round{};
+    instant notice_sent_at{};
+    bool noticed_reading = false; ///< content of the last notice
+    int stop_notices_left = 0;
     unsigned rounds = 0;
 };
 
--- a/src/fleet_table.cpp
+++ b/src/fleet_table.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <tuple>
 #include <utility>
 
 #include "rendezvous.h"
@@ -13,6 +12,13 @@
 
 constexpr duration age_unit = milliseconds(100);
 
+/** Rank of a VM among the candidates for delegates; the highest come first. */
+std::pair<std::uint64_t, std::uint32_t> delegate_rank(std::uint32_t address)
+{
+    constexpr std::uint64_t delegate_rank_key = 0x64656c;
+    return {rendezvous_weight(delegate_rank_key, address), address};
+}
+
 /** Age in units of 100 ms, rounded up: if it were rounded down, a liveness report that is forwarded
  * repeatedly would never age. */
 std::uint8_t to_age(duration span)
@@ -88,6 +94,9 @@
     const bool same_incarnation = vm.last.incarnation == digest.incarnation;
     if (same_incarnation && digest.sequence <= vm.last.sequence) return nullptr;
     if (!same_incarnation) {
+        vm.reads_store_at = {};
+        vm.stopped_reading_at = {};
+        vm.sends_notices = false;
         vm.own_loads = {};
         vm.centre_loads = {};
         vm.remote_loads = {};
@@ -104,6 +113,8 @@
     vm.answer_pending = digest.joining;
     for (const vm_liveness_report& report : digest.vms)
         this->record_vm(report.address, report.data_centre, now - report.age * age_unit, now);
+    for (const store_reader_report& report : digest.store_readers)
+        this->apply_report(report, now);
     vm.own_loads.apply(std::exchange(digest.own_loads, {}));
     vm.centre_loads.apply(std::exchange(digest.centre_loads, {}));
     vm.remote_loads.apply(std::exchange(digest.remote_loads, {}));
@@ -273,25 +284,21 @@
 
 std::vector<std::uint32_t> fleet_table::delegates(instant now) const
 {
-    constexpr std::uint64_t delegate_rank_key = 0x64656c;
     struct candidate {
-        std::uint64_t weight = 0;
         std::uint32_t address = 0;
         std::uint32_t data_centre = 0;
     };
-    std::vector<candidate> candidates{{rendezvous_weight(delegate_rank_key, this->own.address),
-                                       this->own.address, this->own.data_centre}};
+    std::vector<candidate> candidates{{this->own.address, this->own.data_centre}};
     for (const auto& [address, vm] : this->table) {
         if (vm.last.leaving || !this->is_alive(vm, now)) continue;
-        candidates.push_back(
-            {rendezvous_weight(delegate_rank_key, address), address, vm.data_centre});
+        candidates.push_back({address, vm.data_centre});
     }
     std::vector<std::uint32_t> chosen;
     std::vector<std::uint32_t> data_centres;
     const auto preference = [&](const candidate& item) {
         const bool elsewhere =
             std::ranges::find(data_centres, item.data_centre) == data_centres.end();
-        return std::tuple(elsewhere, item.weight, item.address);
+        return std::pair(elsewhere, delegate_rank(item.address));
     };
     while (chosen.size() < delegates_per_fleet && !candidates.empty()) {
         const auto next = std::ranges::max_element(candidates, {}, preference);
@@ -302,6 +309,64 @@
     return chosen;
 }
 
+void fleet_table::apply_notice(std::uint32_t from, const store_reader_notice& notice, instant now)
+{
+    if (!this->is_known(from)) return;
+    fleet_vm& vm = this->table.at(from);
+    vm.alive_at = now;
+    vm.sends_notices = true;
+    vm.reads_store_at = notice.reads_store ? now : instant{};
+    if (!notice.reads_store) vm.stopped_reading_at = now;
+}
+
+void fleet_table::apply_report(const store_reader_report& report, instant now)
+{
+    const instant read_at = from_age(report.age, store_reader_age_unit, now);
+    this->record_vm(report.address, 0, read_at, now);
+    const auto found = this->table.find(report.address);
+    if (found == this->table.end()) return;
+    fleet_vm& vm = found->second;
+    if (read_at > vm.stopped_reading_at + max_store_reader_report_delay)
+        vm.reads_store_at = std::max(vm.reads_store_at, read_at);
+}
+
+std::vector<std::uint32_t> fleet_table::store_readers(instant now) const
+{
+    const duration report_timeout =
+        std::clamp<duration>(this->period * max_store_reader_report_periods,
+                             min_store_reader_report_timeout, max_store_reader_report_timeout);
+    std::vector<std::uint32_t> readers;
+    for (const auto& [address, vm] : this->table) {
+        const duration timeout = vm.sends_notices ? store_reader_notice_timeout : report_timeout;
+        if (vm.reads_store_at != instant{} && now - vm.reads_store_at <= timeout)
+            readers.push_back(address);
+    }
+    std::ranges::sort(readers, std::greater{}, delegate_rank);
+    return readers;
+}
+
+bool fleet_table::precedes_self(std::uint32_t address) const
+{
+    return delegate_rank(address) > delegate_rank(this->own.address);
+}
+
+std::vector<store_reader_report> fleet_table::store_reader_reports(bool reads_store,
+                                                                   instant now) const
+{
+    std::vector<std::uint32_t> readers = this->store_readers(now);
+    if (reads_store) readers.push_back(this->own.address);
+    std::ranges::sort(readers, std::greater{}, delegate_rank);
+    readers.resize(std::min(readers.size(), max_reported_store_readers));
+    std::vector<store_reader_report> reports;
+    std::ranges::transform(readers, std::back_inserter(reports), [&](std::uint32_t address) {
+        const auto found = this->table.find(address);
+        const instant read_at = found == this->table.end() ? now : found->second.reads_store_at;
+        return store_reader_report{address,
+                                   to_age<std::uint8_t>(read_at, store_reader_age_unit, now)};
+    });
+    return reports;
+}
+
 std::optional<vm_liveness_report> fleet_table::make_liveness_report(const fleet_vm& vm,
                                                                     instant now) const
 {
--- a/src/fleet_table.h
+++ b/src/fleet_table.h
@@ -34,6 +34,16 @@
 constexpr duration remote_vm_timeout = seconds(5);
 /** Number of delegates of a fleet: more than one, so that the loss of one leaves no gap. */
 constexpr std::size_t delegates_per_fleet = 2;
+/** A VM that sends this VM notices counts as reading the store linearizably for this long after the
+ * last one: three are lost then. */
+constexpr duration store_reader_notice_timeout = seconds(1);
+/** The same for VMs that are known to read by digests only, in periods of digests: their reports
+ * take about one period for each of three hops. At least and at most the times below. */
+constexpr int max_store_reader_report_periods = 4;
+constexpr duration min_store_reader_report_timeout = seconds(2);
+constexpr duration max_store_reader_report_timeout = seconds(6);
+/** The reported time at which a VM read the store is later than the real one by at most this. */
+constexpr duration max_store_reader_report_delay = milliseconds(200);
 /** A VM is kept in the table, and sent digests, for this long after it was last seen. */
 constexpr duration dead_vm_retention = seconds(60);
 /** A newly discovered VM is sent a digest in each round for this long, even while it is silent. */
@@ -68,6 +78,10 @@
     load_replica remote_loads;
     instant last_received_at{}; ///< when its last digest arrived; the epoch: never
     instant alive_at{}; ///< when it was last seen, also as reported by others; the epoch: never
+    /** When it was last known to read the store linearizably; the epoch: never. */
+    instant reads_store_at{};
+    instant stopped_reading_at{}; ///< when its notice said that it does not; the epoch: never
+    bool sends_notices = false;   ///< a `store_reader_notice` of it was received
     instant known_since{};
     bool answer_pending = false; ///< it is joining, and sent a digest without a reply yet
 };
@@ -86,6 +100,8 @@
     /** Applies a digest received from address \p from. Returns its sender; nullptr if a newer
      * digest arrived before, or if \p from is the address of this VM. */
     const fleet_vm* apply_digest(std::uint32_t from, fleet_digest digest, instant now);
+    /** Sets the interval between two digests of this VM, which is about that of the others. */
+    void set_period(duration span) { this->period = span; }
     /** Removes VMs that were not seen for `dead_vm_retention`, except seeds. */
     void remove_dead_vms(instant now);
 
@@ -136,6 +152,18 @@
      * the same delegates. */
     [[nodiscard]] std::vector<std::uint32_t> delegates(instant now) const;
 
+    /** Applies a notice received from address \p from; ignored if that is not a known VM. */
+    void apply_notice(std::uint32_t from, const store_reader_notice& notice, instant now);
+    /** Addresses of the other VMs that read the store linearizably, by descending rank. */
+    [[nodiscard]] std::vector<std::uint32_t> store_readers(instant now) const;
+    /** Whether the VM at \p address precedes this one in the ranking from which `delegates` are
+     * chosen. */
+    [[nodiscard]] bool precedes_self(std::uint32_t address) const;
+    /** Reports on VMs that read the store linearizably, by descending rank. \p reads_store: whether
+     * this VM is one of them. */
+    [[nodiscard]] std::vector<store_reader_report> store_reader_reports(bool reads_store,
+                                                                        instant now) const;
+
     /** Liveness reports on up to \p count VMs, in rotation from call to call. One of them is for a
      * delegate if possible, since all VMs must learn in time that a delegate is alive. */
     std::vector<vm_liveness_report>
@@ -152,6 +180,7 @@
     [[nodiscard]] bool local_vms_agree(instant now) const;
     [[nodiscard]] bool is_complete(instant now) const;
     void record_vm(std::uint32_t address, std::uint32_t data_centre, instant alive, instant now);
+    void apply_report(const store_reader_report& report, instant now);
 
     identity own;
     std::vector<std::uint32_t> seeds;
@@ -159,6 +188,7 @@
     instant first_digest_at{}; ///< the epoch: none yet
     instant last_digest_at{};
     instant informed_at{}; ///< first digest of a VM that had joined; the epoch: none yet
+    duration period{};
     share_state share = share_state::none;
     instant share_since{};
     instant local_vm_discovered_at{}; ///< when a new VM of this data centre was last discovered
--- a/src/registry_follower.h
+++ b/src/registry_follower.h
@@ -41,6 +41,11 @@
     [[nodiscard]] std::uint64_t revision() const { return this->feed.revision(); }
     [[nodiscard]] bool store_reachable() const { return this->follow.watch.reachable(); }
     [[nodiscard]] bool receives_updates() const { return this->follow.watch.receives_updates(); }
+    /** Whether this VM reads the store linearizably, and the store answers. */
+    [[nodiscard]] bool reads_linearizably() const
+    {
+        return this->follow.watch.reads_linearizably();
+    }
     [[nodiscard]] std::uint64_t store_calls(read_mode mode) const
     {
         return this->client.calls(mode);
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <fstream>
 #include <sstream>
+#include <utility>
 
 #include "errors.h"
 #include "process.h"
@@ -136,7 +137,8 @@
     this->update_peer_loads(time);
     this->update_server_assignments(time);
     this->announce_suspects(time);
-    this->gossip.tick(time, [this, time] { return this->build_local_state(time); });
+    this->gossip.tick(time, this->reads_store,
+                      [this, time] { return this->build_local_state(time); });
     this->check_settings_file(time);
     if (this->path.shutdown().stopping()) this->continue_stop(time);
     flush_log();
@@ -307,11 +309,15 @@
 void router::follow_store(instant time)
 {
     const bool watched = this->watch_role.watching();
+    // A VM that stops is replaced before it ends.
+    const bool reads = this->registry.reads_linearizably() &&
+                       this->configuration.reads_linearizably() &&
+                       !this->path.shutdown().stopping();
+    const bool read = std::exchange(this->reads_store, reads);
     const bool store_reachable = this->registry.store_reachable();
-    this->watch_role.update(this->gossip.fleet(), this->registry.store().confirmed_at,
-                            store_reachable, time);
-    // Announced at once, so that no more VMs than needed start to watch.
-    if (!watched && this->watch_role.watching()) this->gossip.send_early();
+    this->watch_role.update(this->gossip.fleet(), {store_reachable, this->reads_store}, time);
+    // Announced at once, so that no more VMs than needed start to watch or read linearizably.
+    if ((!watched && this->watch_role.watching()) || (!read && reads)) this->gossip.send_early();
     // While the store does not answer, the registry's watch alone is enough to detect its return.
     const std::optional<read_mode> mode = store_reachable ? this->watch_role.mode() : std::nullopt;
     this->configuration.tick(time, mode);
@@ -393,6 +399,7 @@
 local_state router::build_local_state(instant time)
 {
     local_state state;
+    state.reads_store = this->reads_store;
     state.digest.config_version = this->configuration.version();
     state.digest.watches_store =
         this->configuration.receives_updates() && this->registry.receives_updates();
@@ -500,6 +507,7 @@
     text << "worksshift_server_connections_opened_total " << this->connection_pool.opened() << '\n';
     text << "worksshift_config_version " << this->configuration.version() << '\n';
     text << "worksshift_registry_watched " << (this->watch_role.watching() ? 1 : 0) << '\n';
+    text << "worksshift_store_reader " << (this->reads_store ? 1 : 0) << '\n';
     for (const read_mode mode : {read_mode::stale, read_mode::linearizable}) {
         text << "worksshift_store_calls_total{mode=\"" << name_of(mode) << "\"} "
              << this->configuration.store_calls(mode) + this->registry.store_calls(mode) +
--- a/src/router.h
+++ b/src/router.h
@@ -86,6 +86,7 @@
     std::optional<datagram_socket> origin_socket; ///< for `origin_exchange`, at the relay port
     http_client client;
     watcher_selection watch_role;
+    bool reads_store = false; ///< the store answers linearizable watches of this VM
     config_follower configuration;
     registry_follower registry;
     evacuation_follower evacuations;
--- a/src/store_watch.cpp
+++ b/src/store_watch.cpp
@@ -39,9 +39,13 @@
                {"revision", this->revision}});
     const bool relaxed = this->mode == read_mode::linearizable && new_mode == read_mode::stale;
     this->mode = new_mode;
+    this->mode_set_at = now;
     // A pending linearizable call also serves a stale watch, and a pending list serves any mode.
     if (relaxed || !this->listed) return;
-    if (std::exchange(this->awaiting, false)) this->wait_until(now);
+    const bool pending = std::exchange(this->awaiting, false);
+    // The pause between stale watches, which ends later, does not delay a linearizable one.
+    const bool pauses = this->responding && new_mode == read_mode::linearizable;
+    if (pending || pauses) this->wait_until(now);
 }
 
 void store_watch::advance(std::uint64_t revision_received)
@@ -90,12 +94,14 @@
 {
     // Jitter: 75% to 100% of the wait, so that the VMs' calls do not all end at once.
     const double jitter = 0.75 + 0.25 * std::uniform_real_distribution<>()(this->random);
-    const auto wait = this->responding
-                          ? std::chrono::duration_cast<milliseconds>(this->timing().wait * jitter)
-                          : probe_wait;
+    const bool probes =
+        !this->responding || (this->mode == read_mode::linearizable && this->unconfirmed());
+    const auto wait = probes
+                          ? probe_wait
+                          : std::chrono::duration_cast<milliseconds>(this->timing().wait * jitter);
     this->call.mode = this->mode.value_or(read_mode::stale);
     this->call.operation = watch_read{this->revision, wait};
-    this->call.limit = {this->responding ? wait + wait_grace : probe_timeout};
+    this->call.limit = {probes ? probe_timeout : wait + wait_grace};
 }
 
 /** Whether the response belongs to the newest call, which is then no longer pending. */
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -72,7 +72,8 @@
     /** Allowance for the response to a watch, beyond the wait that was asked for. */
     static constexpr duration wait_grace = milliseconds(500);
     /** After a failure, watches use this wait until one is answered: with a long wait, a call to a
-     * store that does not respond would delay noticing its return. */
+     * store that does not respond would delay noticing its return. So does the first linearizable
+     * watch, which shows whether the store answers such calls. */
     static constexpr milliseconds probe_wait = milliseconds(1);
     static constexpr duration probe_timeout = milliseconds(700);
     /** A list is given up if no byte arrives for this long; one that is being received may take
@@ -114,6 +115,12 @@
     {
         return this->mode.has_value() && this->listed && this->responding;
     }
+    /** Whether a change reaches this VM as soon as the store has it: it watches linearizably, the
+     * store has answered such a call since the mode was set, and no call has failed since. */
+    [[nodiscard]] bool reads_linearizably() const
+    {
+        return this->receives_updates() && !this->unconfirmed();
+    }
     /** Whether a response to the newest call is awaited. */
     [[nodiscard]] bool call_pending() const { return this->awaiting; }
     [[nodiscard]] bool reachable() const { return this->responding; }
@@ -129,6 +136,12 @@
 
 private:
     [[nodiscard]] const watch_timing& timing() const;
+    /** Whether the store has not answered a linearizable call in the present mode, or the mode is
+     * another one. */
+    [[nodiscard]] bool unconfirmed() const
+    {
+        return this->mode != read_mode::linearizable || this->confirmed < this->mode_set_at;
+    }
     void prepare_list(const std::string& after);
     void prepare_watch();
     void wait_until(instant at) { this->due_at = at; }
@@ -139,6 +152,7 @@
 
     object_kind watched_kind;
     std::optional<read_mode> mode = read_mode::stale;
+    instant mode_set_at{};
     std::uint64_t revision = 0; ///< the next watch asks for changes after this one
     std::uint64_t changed = 0;
     std::uint64_t list_revision = 0; ///< lowest revision of the pages of the list in progress
--- a/test/error/configuration_from_store_or_peer.cpp
+++ b/test/error/configuration_from_store_or_peer.cpp
@@ -67,7 +67,7 @@
         this->caller.sweep();
         this->follower.tick(now,
                             this->watching ? std::optional(read_mode::linearizable) : std::nullopt);
-        this->gossip.tick(now, [this] {
+        this->gossip.tick(now, false, [this] {
             local_state state;
             state.digest.config_version = this->follower.version();
             return state;
--- a/test/fuzz/digests_reach_every_vm.cpp
+++ b/test/fuzz/digests_reach_every_vm.cpp
@@ -60,6 +60,8 @@
     CPPUNIT_TEST(seeds_can_be_added);
     CPPUNIT_TEST(new_incarnation_starts_without_loads);
     CPPUNIT_TEST(digest_is_unchanged_by_encoding);
+    CPPUNIT_TEST(notices_are_told_apart_from_digests);
+    CPPUNIT_TEST(store_readers_that_stop_are_not_reported_again);
     CPPUNIT_TEST(rejections_are_optional);
     CPPUNIT_TEST(fleet_size_is_optional);
     CPPUNIT_TEST(fleet_size);
@@ -236,6 +238,7 @@
             original.own_loads = {3, 8, draw_loads(90)};
             original.remote_loads = {0, 1, draw_loads(20)};
             original.vms.push_back({*rc::gen::arbitrary<std::uint32_t>(), 7, 3});
+            original.store_readers.push_back({*rc::gen::arbitrary<std::uint32_t>(), 5});
             const fleet_digest decoded = decode_digest(encode(original), "vm");
             RC_ASSERT(decoded.incarnation == original.incarnation);
             RC_ASSERT(decoded.config_version == original.config_version);
@@ -244,6 +247,7 @@
             RC_ASSERT(decoded.own_loads.entries == original.own_loads.entries);
             RC_ASSERT(decoded.remote_loads.entries == original.remote_loads.entries);
             RC_ASSERT(decoded.vms.at(0).address == original.vms.at(0).address);
+            RC_ASSERT(decoded.store_readers == original.store_readers);
             std::string bytes = encode(original);
             bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size()));
             RC_ASSERT_THROWS_AS(decode_digest(bytes, "vm"), peer_error);
@@ -251,6 +255,47 @@
         CPPUNIT_ASSERT(held);
     }
 
+    /** Guards against a notice that is taken for a digest, or the reverse, and against bytes that
+     * are neither. */
+    static void notices_are_told_apart_from_digests()
+    {
+        for (const bool reads_store : {false, true}) {
+            const store_reader_notice notice{.reads_store = reads_store};
+            const gossip_datagram decoded = decode_datagram(encode(notice), "vm");
+            CPPUNIT_ASSERT_EQUAL(reads_store, std::get<store_reader_notice>(decoded).reads_store);
+            std::string bytes = encode(notice);
+            bytes.pop_back();
+            CPPUNIT_ASSERT_THROW(decode_datagram(bytes, "vm"), peer_error);
+        }
+        const gossip_datagram decoded = decode_datagram(encode(fleet_digest{}), "vm");
+        CPPUNIT_ASSERT(std::holds_alternative<fleet_digest>(decoded));
+    }
+
+    /** Guards against a VM that said that it no longer reads the store being taken for a reader
+     * again because of another VM's older report. */
+    static void store_readers_that_stop_are_not_reported_again()
+    {
+        const instant now(seconds(100));
+        fleet_table table({1, 7, 1}, {}, now);
+        fleet_digest digest;
+        digest.incarnation = 5;
+        digest.sequence = 1;
+        digest.store_readers = {{3, 1}};
+        table.apply_digest(2, digest, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.store_readers(now).size());
+        table.apply_notice(3, {.reads_store = false}, now + milliseconds(20));
+        CPPUNIT_ASSERT(table.store_readers(now + milliseconds(20)).empty());
+        digest.sequence = 2;
+        table.apply_digest(2, digest, now + milliseconds(40));
+        CPPUNIT_ASSERT(table.store_readers(now + milliseconds(40)).empty());
+        digest.sequence = 3;
+        table.apply_digest(2, digest, now + seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.store_readers(now + seconds(1)).size());
+        // A host that is not a VM.
+        table.apply_notice(9, {.reads_store = true}, now + seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.store_readers(now + seconds(1)).size());
+    }
+
     /** Guards against digests that VMs which do not know rejections cannot decode, although there
      * are none, and against truncated ones that are accepted. */
     static void rejections_are_optional()
@@ -302,6 +347,8 @@
         for (std::size_t other = 0; other < 65; ++other)
             fleet.cut.insert(std::minmax<std::size_t>(40, other));
         fleet.kill(40);
+        // Datagrams that were sent before the cut do not reach the new process.
+        fleet.run(milliseconds(100));
         fleet.start(40);
         fleet.run(seconds(20));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, size(40).vms);
--- a/test/fuzz/versions_reach_every_vm.cpp
+++ b/test/fuzz/versions_reach_every_vm.cpp
@@ -143,7 +143,7 @@
             if (item.watch_role.mode() == read_mode::linearizable) fleet.store.refused.insert(vm);
         }
         CPPUNIT_ASSERT_EQUAL(delegates_per_fleet, fleet.store.refused.size());
-        fleet.run(watcher_selection::max_confirmation_age + seconds(2));
+        fleet.run(seconds(8));
         fleet.set_config(2);
         CPPUNIT_ASSERT(fleet.run_until_known(max_propagation_time) < max_propagation_time);
     }
--- a/test/support/digest_fleet.cpp
+++ b/test/support/digest_fleet.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "visitor.h"
+
 namespace support {
 
 using namespace worksshift;
@@ -69,22 +71,32 @@
 {
     this->now += step_span;
     while (!this->network.empty() && this->network.top().at <= this->now) {
-        const datagram item = this->network.top();
+        datagram item = this->network.top();
         this->network.pop();
-        this->deliver(item);
+        if (this->suspended.contains(item.to)) {
+            item.at = this->now + step_span;
+            this->network.push(item);
+        } else {
+            this->deliver(item);
+        }
     }
     for (auto& [vm, item] : this->vms) {
+        if (this->suspended.contains(vm)) continue;
         if (this->on_tick) this->on_tick(vm);
         const bool before = item.watch_role.stands_by();
-        item.watch_role.update(item.rounds.fleet(), this->known_store_state(item).confirmed_at,
-                               item.store_answers, this->now);
+        item.watch_role.update(item.rounds.fleet(), {item.store_answers, item.reads_store},
+                               this->now);
         if (!before && item.watch_role.stands_by()) {
             ++item.watch_starts;
             item.rounds.send_early();
         }
-        const bool confirmed = item.store_answers &&
-                               item.watch_role.mode() == read_mode::linearizable && !this->on_tick;
-        if (confirmed) item.store.confirmed_at = this->now;
+        if (!this->on_tick) {
+            item.reads_store =
+                item.store_answers && item.watch_role.mode() == read_mode::linearizable;
+            if (item.reads_store) item.store.confirmed_at = this->now;
+        }
+        if (const auto notice = item.rounds.next_notice(item.reads_store, this->now))
+            this->send(vm, *notice);
         if (item.rounds.due(this->now)) this->send_round(vm);
     }
 }
@@ -101,10 +113,17 @@
     const auto receiver = this->vms.find(item.to);
     if (receiver == this->vms.end()) return;
     receiver->second.bytes_received += item.bytes.size();
-    const fleet_vm* from = receiver->second.rounds.fleet().apply_digest(
-        first_address + static_cast<std::uint32_t>(item.from), decode_digest(item.bytes, "vm"),
-        this->now);
-    if (from != nullptr && this->on_digest) this->on_digest(item.to, *from);
+    fleet_table& fleet = receiver->second.rounds.fleet();
+    const std::uint32_t sender = first_address + static_cast<std::uint32_t>(item.from);
+    std::visit(visitor{[&](fleet_digest&& digest) {
+                           const fleet_vm* from =
+                               fleet.apply_digest(sender, std::move(digest), this->now);
+                           if (from != nullptr && this->on_digest) this->on_digest(item.to, *from);
+                       },
+                       [&](const store_reader_notice& notice) {
+                           fleet.apply_notice(sender, notice, this->now);
+                       }},
+               decode_datagram(item.bytes, "vm"));
 }
 
 void digest_fleet::send_round(std::size_t vm)
@@ -114,25 +133,31 @@
     state.digest.config_version = item.config_version;
     state.digest.watches_store = item.watch_role.watching() && item.store_answers;
     state.digest.leaving = item.leaving;
+    state.reads_store = item.reads_store;
     state.loads = item.loads;
     state.servers = this->servers;
     state.busy = item.busy;
     this->known_store_state(item).describe(state.digest, this->now);
     if (this->describe) this->describe(vm, state);
-    for (const outgoing_digest& digest : item.rounds.next(std::move(state), this->now)) {
-        for (const std::uint32_t address : digest.to) {
-            const std::size_t to = vm_at(address);
-            item.bytes_sent += digest.bytes.size();
-            if (this->data_centre_of(to) != this->data_centre_of(vm)) {
-                item.bytes_to_other_centres += digest.bytes.size();
-            }
-            const bool lost = std::uniform_real_distribution<>()(this->random) < this->loss;
-            if (lost || this->cut.contains(std::minmax(vm, to))) continue;
-            const auto delay = std::uniform_int_distribution<duration::rep>(
-                min_delay.count(), max_delay.count())(this->random);
-            this->network.push(
-                {this->now + duration(delay), this->datagrams_sent++, vm, to, digest.bytes});
+    for (const outgoing_digest& digest : item.rounds.next(std::move(state), this->now))
+        this->send(vm, digest);
+}
+
+void digest_fleet::send(std::size_t vm, const outgoing_digest& message)
+{
+    digest_vm& item = this->vms.at(vm);
+    for (const std::uint32_t address : message.to) {
+        const std::size_t to = vm_at(address);
+        item.bytes_sent += message.bytes.size();
+        if (this->data_centre_of(to) != this->data_centre_of(vm)) {
+            item.bytes_to_other_centres += message.bytes.size();
         }
+        const bool lost = std::uniform_real_distribution<>()(this->random) < this->loss;
+        if (lost || this->cut.contains(std::minmax(vm, to))) continue;
+        const auto delay = std::uniform_int_distribution<duration::rep>(
+            min_delay.count(), max_delay.count())(this->random);
+        this->network.push(
+            {this->now + duration(delay), this->datagrams_sent++, vm, to, message.bytes});
     }
 }
 
--- a/test/support/digest_fleet.h
+++ b/test/support/digest_fleet.h
@@ -31,6 +31,7 @@
     std::vector<std::uint32_t> busy;
     std::uint64_t config_version = 1;
     bool store_answers = true;
+    bool reads_store = false; ///< the store answers its linearizable watches
     bool leaving = false;
     std::size_t watch_starts = 0;   ///< how often it became a standby watcher
     worksshift::store_status store; ///< state of the store from its own calls
@@ -66,6 +67,7 @@
     std::size_t servers = 20;                          ///< in the registry
     double loss = 0;                                   ///< share of datagrams that are lost
     std::set<std::pair<std::size_t, std::size_t>> cut; ///< disconnected pairs, the smaller first
+    std::set<std::size_t> suspended; ///< VMs that do not run; datagrams to them wait
     /** Hooks for tests: called in each tick of a VM, and to add to the state that a VM reports. */
     std::function<void(std::size_t)> on_tick;
     std::function<void(std::size_t, worksshift::local_state&)> describe;
@@ -90,6 +92,7 @@
     static worksshift::store_status known_store_state(const digest_vm& item);
     void deliver(const datagram& item);
     void send_round(std::size_t vm);
+    void send(std::size_t vm, const worksshift::outgoing_digest& message);
 
     std::size_t data_centres;
     std::mt19937_64 random;
--- a/test/support/store_fleet.cpp
+++ b/test/support/store_fleet.cpp
@@ -15,6 +15,8 @@
 constexpr duration store_delay = milliseconds(4);
 /** Time from a request to another VM to its response. */
 constexpr duration peer_delay = milliseconds(50);
+/** Time within which keep-alive probes end a call that gets no answer; see `enable_keepalive`. */
+constexpr duration keepalive_timeout = seconds(2);
 
 } // namespace
 
@@ -65,7 +67,8 @@
 
 model_store::answer model_store::answer_to(const waiting_call& call, instant now) const
 {
-    if (this->silent || now - call.requested_at < store_delay) return {};
+    if (this->silent || this->cut_off.contains(call.vm) || now - call.requested_at < store_delay)
+        return {};
     if (this->refused.contains(call.vm)) return {verdict::refused, {}};
     answer response;
     response.page.revision = this->visible(call.read.mode, now);
@@ -140,6 +143,15 @@
     });
 }
 
+void store_fleet::cut_off_from_store(const std::set<std::size_t>& lost)
+{
+    this->store.cut_off = lost;
+    for (own_call& call : this->pending) {
+        if (lost.contains(call.vm))
+            call.fails_at = std::min(call.fails_at, this->fleet.now + keepalive_timeout);
+    }
+}
+
 void store_fleet::restart(std::size_t vm)
 {
     this->vms.erase(vm);
@@ -272,6 +284,10 @@
                        digests.rounds.fleet().store(), digests.rounds.fleet().is_isolated(now));
     digests.store = {item.outage.recovered_at(), item.servers.watch.confirmed_at()};
     digests.store_answers = item.servers.watch.reachable();
+    const bool read = std::exchange(digests.reads_store,
+                                    item.servers.watch.reads_linearizably() &&
+                                        item.config.watch.reads_linearizably() && !digests.leaving);
+    if (!read && digests.reads_store) digests.rounds.send_early();
     const std::optional<read_mode> mode = digests.watch_role.mode();
     item.config.update(digests.store_answers ? mode : std::nullopt, item.version > 0,
                        item.newest_reported > item.version, now);
@@ -314,6 +330,7 @@
     const instant now = this->fleet.now;
     std::vector<std::pair<model_store::waiting_call, model_store::answer>> done;
     std::erase_if(this->waiting, [&](const model_store::waiting_call& call) {
+        if (this->fleet.suspended.contains(call.vm)) return false;
         model_store::answer answer = this->store.answer_to(call, now);
         if (answer.result == model_store::verdict::none) return false;
         done.emplace_back(call, std::move(answer));
@@ -330,7 +347,7 @@
         }
     }
     std::erase_if(this->pending, [&](const own_call& call) {
-        if (now < call.fails_at) return false;
+        if (now < call.fails_at || this->fleet.suspended.contains(call.vm)) return false;
         this->follow_of(call.vm, call.kind).watch.handle_failure(call.number, "late", now);
         return true;
     });
@@ -379,12 +396,13 @@
     });
 }
 
-bool store_fleet::all_know() const
+bool store_fleet::all_know(const std::set<std::size_t>& without) const
 {
     const auto truth = this->store.objects(object_kind::servers, this->store.newest());
     const auto config = this->store.objects(object_kind::configuration, this->store.newest());
     const std::uint64_t version = config.empty() ? 0 : std::stoull(config.begin()->second.document);
     return std::ranges::all_of(this->fleet.vms, [&](const auto& entry) {
+        if (without.contains(entry.first)) return true;
         const follower_vm& item = this->vms.at(entry.first);
         return item.version == version &&
                std::ranges::equal(item.registry, truth, [](const auto& left, const auto& right) {
--- a/test/support/store_fleet.h
+++ b/test/support/store_fleet.h
@@ -48,6 +48,7 @@
     worksshift::duration lag{};    ///< age of the state that stale reads return
     bool silent = false;           ///< answers nothing
     std::set<std::size_t> refused; ///< VMs whose calls are refused
+    std::set<std::size_t> cut_off; ///< VMs whose calls get no answer
 
 private:
     struct change {
@@ -108,9 +109,13 @@
                                         worksshift::duration running_for = {}) const;
     /** Drops the pending calls without a response or an error. */
     void lose_waiting() { this->waiting.clear(); }
+    /** The store's answers to these VMs are lost from now on; keep-alive probes end their pending
+     * calls. */
+    void cut_off_from_store(const std::set<std::size_t>& lost);
     /** Restarts a VM, which then knows nothing. */
     void restart(std::size_t vm);
-    [[nodiscard]] bool all_know() const;
+    /** Whether all live VMs except \p without have the store's state. */
+    [[nodiscard]] bool all_know(const std::set<std::size_t>& without = {}) const;
     [[nodiscard]] bool any_regressed() const;
     /** Sum of `call_cost` over the fleet. */
     [[nodiscard]] double call_cost() const;
