VMs that read the store for all check their path to it

What callers saw: when the packets of both readers to the store were dropped without a reset, and a change followed, all other VMs learnt of it after 2.3 s in the worst phase of the readers' watches (8 VMs; 2 s are allowed).

Cause: a watch without an answer fails only when keep-alive probes end its connection, one to two seconds after the last packet (1 s is the shortest interval of the system). Until then the reader told the standby watchers that it reads.

Change: a VM that reads linearizably makes a stale call every 400 ms; one that is not answered within 700 ms, or with 429 or 5xx, ends its notices until the next is answered. A failed check is logged. The calls cost a tenth, so 0.5 calls a second for the two readers, beside 1.7 for their watches (worked out, 2.5 x 0.1 x 2 and 3 x 2 / 3.5).

Test: linearizable_readers_are_replaced::readers_cut_off, in eight phases; failed before (2,300 ms in the phase of 1 s, 8 VMs) and passes.

--- a/src/router.cpp
+++ b/src/router.cpp
@@ -34,6 +34,8 @@
 constexpr double demand_units_per_rps = 10;
 constexpr double max_demand = 65535;
 constexpr int ok = 200;
+constexpr int too_many_requests = 429;
+constexpr int server_error = 500;
 constexpr int unavailable = 503;
 
 instant now()
@@ -305,14 +307,38 @@
                {"evacuations", this->evacuations.revision()}});
 }
 
+/** Makes the check of the path to the store that is due while the store answers linearizable
+ * watches of this VM (\p needed). Returns whether the path works and is needed. */
+bool router::check_store_path(bool needed, instant time)
+{
+    if (this->path_check.begin(needed, time)) {
+        ++this->path_checks;
+        const std::string path =
+            this->adapter.list_path(object_kind::evacuations, {}, read_mode::stale);
+        this->client.call(
+            this->options.store, EVHTTP_REQ_GET, path, {}, {}, {store_path_check::timeout},
+            [this](const http_response& response) {
+                const bool refused =
+                    response.status == too_many_requests || response.status >= server_error;
+                const bool answered = response.status != 0 && !refused;
+                if (!answered) {
+                    log_event(log_level::warn, "store_path_lost", {{"status", response.status}});
+                }
+                this->path_check.end(answered);
+            });
+    }
+    return needed && this->path_check.passed();
+}
+
 /** Updates configuration, servers and evacuations from the store or from other VMs. */
 void router::follow_store(instant time)
 {
     const bool watched = this->watch_role.watching();
+    const bool watches_answered =
+        this->registry.reads_linearizably() && this->configuration.reads_linearizably();
     // A VM that stops is replaced before it ends.
-    const bool reads = this->registry.reads_linearizably() &&
-                       this->configuration.reads_linearizably() &&
-                       !this->path.shutdown().stopping();
+    const bool reads =
+        this->check_store_path(watches_answered, time) && !this->path.shutdown().stopping();
     const bool read = std::exchange(this->reads_store, reads);
     const bool store_reachable = this->registry.store_reachable();
     this->watch_role.update(this->gossip.fleet(), {store_reachable, this->reads_store}, time);
@@ -511,7 +537,8 @@
     for (const read_mode mode : {read_mode::stale, read_mode::linearizable}) {
         text << "worksshift_store_calls_total{mode=\"" << name_of(mode) << "\"} "
              << this->configuration.store_calls(mode) + this->registry.store_calls(mode) +
-                    this->evacuations.store_calls(mode)
+                    this->evacuations.store_calls(mode) +
+                    (mode == read_mode::stale ? this->path_checks : 0)
              << '\n';
     }
     text << "worksshift_store_reachable " << (this->registry.store_reachable() ? 1 : 0) << '\n';
--- a/src/router.h
+++ b/src/router.h
@@ -21,6 +21,7 @@
 #include "router_settings.h"
 #include "server_connections.h"
 #include "server_table.h"
+#include "store_path_check.h"
 #include "suspension.h"
 #include "watcher_selection.h"
 
@@ -58,6 +59,7 @@
     [[nodiscard]] std::optional<std::uint32_t> find_serving_vm(const service_id& service) const;
     void update_relay_vms(instant now);
     void announce_suspects(instant now);
+    bool check_store_path(bool needed, instant now);
     double fleet_demand_ratio(std::size_t alive, instant now);
     local_state build_local_state(instant now);
     void serve_peers();
@@ -86,7 +88,9 @@
     std::optional<datagram_socket> origin_socket; ///< for `origin_exchange`, at the relay port
     http_client client;
     watcher_selection watch_role;
-    bool reads_store = false; ///< the store answers linearizable watches of this VM
+    store_path_check path_check;
+    std::uint64_t path_checks = 0; ///< calls made
+    bool reads_store = false;      ///< the store answers linearizable watches of this VM
     config_follower configuration;
     registry_follower registry;
     evacuation_follower evacuations;
--- a/test/fuzz/linearizable_readers_are_replaced.cpp
+++ b/test/fuzz/linearizable_readers_are_replaced.cpp
@@ -136,6 +136,7 @@
     CPPUNIT_TEST(readers_killed);
     CPPUNIT_TEST(data_centres_of_readers_killed);
     CPPUNIT_TEST(readers_refused);
+    CPPUNIT_TEST(readers_cut_off);
     CPPUNIT_TEST(readers_suspended);
     CPPUNIT_TEST(readers_stopped);
     CPPUNIT_TEST(readers_killed_in_series);
@@ -166,6 +167,23 @@
         });
     }
 
+    /** Guards against late changes as VMs whose packets to the store are lost, which only a timeout
+     * shows, are taken for readers. In each phase of their watches. */
+    static void readers_cut_off()
+    {
+        check_small_fleets([](store_fleet& fleet, const std::set<std::size_t>& readers) {
+            fleet.cut_off_from_store(readers);
+        });
+        for (duration phase = milliseconds(0); phase < seconds(4); phase += milliseconds(500)) {
+            const auto fleet = start_fleet(small_fleets.front());
+            fleet->run(phase);
+            fleet->cut_off_from_store(linearizable_readers(*fleet));
+            fleet->run(delays.front());
+            check_changes(*fleet, small_fleets.front(),
+                          "cut off " + std::to_string(phase / milliseconds(1)) + " ms later");
+        }
+    }
+
     /** Guards against late changes while both readers are suspended, and against a version that is
      * reverted when they resume. */
     static void readers_suspended()
--- a/test/support/store_fleet.cpp
+++ b/test/support/store_fleet.cpp
@@ -13,6 +13,8 @@
 
 /** Time from a call to the store's response. */
 constexpr duration store_delay = milliseconds(4);
+/** Cost of a stale call; that of a linearizable one is 1. */
+constexpr double stale_price = 0.1;
 /** Time from a request to another VM to its response. */
 constexpr duration peer_delay = milliseconds(50);
 /** Time within which keep-alive probes end a call that gets no answer; see `enable_keepalive`. */
@@ -284,9 +286,7 @@
                        digests.rounds.fleet().store(), digests.rounds.fleet().is_isolated(now));
     digests.store = {item.outage.recovered_at(), item.servers.watch.confirmed_at()};
     digests.store_answers = item.servers.watch.reachable();
-    const bool read = std::exchange(digests.reads_store,
-                                    item.servers.watch.reads_linearizably() &&
-                                        item.config.watch.reads_linearizably() && !digests.leaving);
+    const bool read = std::exchange(digests.reads_store, this->check_path(vm) && !digests.leaving);
     if (!read && digests.reads_store) digests.rounds.send_early();
     const std::optional<read_mode> mode = digests.watch_role.mode();
     item.config.update(digests.store_answers ? mode : std::nullopt, item.version > 0,
@@ -308,6 +308,29 @@
     if (item.feed.revision() != revision || item.version != version) digests.rounds.send_early();
 }
 
+/** Whether the store answers linearizable watches of a VM and its path to the store works. */
+bool store_fleet::check_path(std::size_t vm)
+{
+    follower_vm& item = this->vms.at(vm);
+    const instant now = this->fleet.now;
+    const bool needed =
+        item.servers.watch.reads_linearizably() && item.config.watch.reads_linearizably();
+    if (item.path_checked_at) {
+        const duration waited = now - *item.path_checked_at;
+        const bool lost = this->store.silent || this->store.cut_off.contains(vm);
+        if (waited >= (lost ? store_path_check::timeout : store_delay)) {
+            item.path_checked_at.reset();
+            item.path_check.end(!lost && !this->store.refused.contains(vm));
+        }
+    }
+    if (item.path_check.begin(needed, now)) {
+        item.path_checked_at = now;
+        item.call_cost += stale_price;
+        ++item.calls;
+    }
+    return needed && item.path_check.passed();
+}
+
 void store_fleet::ask_store(std::size_t vm, store_follow& follow)
 {
     const instant now = this->fleet.now;
@@ -315,7 +338,6 @@
     if (!read) return;
     follower_vm& item = this->vms.at(vm);
     ++item.calls;
-    constexpr double stale_price = 0.1;
     item.call_cost += read->mode == read_mode::stale ? stale_price : 1;
     const object_kind kind = follow.watch.kind();
     this->waiting.push_back({vm, kind, *read, now});
--- a/test/support/store_fleet.h
+++ b/test/support/store_fleet.h
@@ -13,6 +13,7 @@
 #include "server_registry.h"
 #include "store_follow.h"
 #include "store_outage.h"
+#include "store_path_check.h"
 #include "support/digest_fleet.h"
 
 namespace support {
@@ -70,6 +71,8 @@
     worksshift::store_follow servers{worksshift::object_kind::servers, 2};
     worksshift::store_follow evacuations{worksshift::object_kind::evacuations, 3};
     worksshift::store_outage outage;
+    worksshift::store_path_check path_check;
+    std::optional<worksshift::instant> path_checked_at; ///< when the pending call was made
     worksshift::protocol adapter = worksshift::platform_protocol();
     worksshift::evacuation_state evacuated{adapter};
     worksshift::registry_feed feed;
@@ -145,6 +148,7 @@
     void connect(std::size_t vm);
     void tick(std::size_t vm);
     void answer_calls();
+    bool check_path(std::size_t vm);
     void ask_store(std::size_t vm, worksshift::store_follow& follow);
     void request_from_peer(std::size_t vm, worksshift::object_kind kind);
     void take_peer_answers();
