The VMs that read the store for all are the first two by rank again

The rule that the second one is in another data centre guarded against a loss of the data centre with both.

Calls to the store are the same.

--- a/src/fleet_table.cpp
+++ b/src/fleet_table.cpp
@@ -284,29 +284,13 @@
 
 std::vector<std::uint32_t> fleet_table::delegates(instant now) const
 {
-    struct candidate {
-        std::uint32_t address = 0;
-        std::uint32_t data_centre = 0;
-    };
-    std::vector<candidate> candidates{{this->own.address, this->own.data_centre}};
+    std::vector<std::uint32_t> candidates{this->own.address};
     for (const auto& [address, vm] : this->table) {
-        if (vm.last.leaving || !this->is_alive(vm, now)) continue;
-        candidates.push_back({address, vm.data_centre});
+        if (!vm.last.leaving && this->is_alive(vm, now)) candidates.push_back(address);
     }
-    std::vector<std::uint32_t> chosen;
-    std::vector<std::uint32_t> data_centres;
-    const auto preference = [&](const candidate& item) {
-        const bool elsewhere =
-            std::ranges::find(data_centres, item.data_centre) == data_centres.end();
-        return std::pair(elsewhere, delegate_rank(item.address));
-    };
-    while (chosen.size() < delegates_per_fleet && !candidates.empty()) {
-        const auto next = std::ranges::max_element(candidates, {}, preference);
-        chosen.push_back(next->address);
-        data_centres.push_back(next->data_centre);
-        candidates.erase(next);
-    }
-    return chosen;
+    std::ranges::sort(candidates, std::greater{}, delegate_rank);
+    candidates.resize(std::min(candidates.size(), delegates_per_fleet));
+    return candidates;
 }
 
 void fleet_table::apply_notice(std::uint32_t from, const store_reader_notice& notice, instant now)
--- a/src/fleet_table.h
+++ b/src/fleet_table.h
@@ -147,9 +147,8 @@
     /** Highest revision of the registry in any digest received. */
     [[nodiscard]] std::uint64_t servers_revision() const { return this->max_servers_revision; }
     /** The VMs that do work which only a few VMs need to do for the whole fleet: the first by
-     * rendezvous rank of those that are alive and not leaving, in different data centres if there
-     * are several, so that the loss of one leaves a delegate. VMs that know the same members choose
-     * the same delegates. */
+     * rendezvous rank of those that are alive and not leaving. VMs that know the same members
+     * choose the same delegates. */
     [[nodiscard]] std::vector<std::uint32_t> delegates(instant now) const;
 
     /** Applies a notice received from address \p from; ignored if that is not a known VM. */
