Soak: faults of the routers that read the store for all

The soak had many faults of the store for all routers, few for just those that read it for the others, and its store never answered with an older state. In one seed of five, all routers that have a linearizable watch pending are now killed, suspended, stopped or lose their path to the store for 3 to 5 s, right before a change of the configuration and the servers, while stale watches are 4 s behind. The other routers are undisturbed, so the bounds hold for them.

The store tells routers apart by the source address of their proxies.

--- a/src/fleet_digest.cpp
+++ b/src/fleet_digest.cpp
@@ -191,10 +191,10 @@
 
 gossip_datagram decode_datagram(std::string_view bytes, const std::string& peer)
 {
-    for (const bool reads_store : {false, true}) {
-        const store_reader_notice notice{.reads_store = reads_store};
-        if (bytes == encode(notice)) return notice;
-    }
+    static const std::string reads = encode(store_reader_notice{.reads_store = true});
+    static const std::string stopped = encode(store_reader_notice{.reads_store = false});
+    if (bytes == reads || bytes == stopped)
+        return store_reader_notice{.reads_store = bytes == reads};
     return decode_digest(bytes, peer);
 }
 
--- a/test/fakes/fake_store.cpp
+++ b/test/fakes/fake_store.cpp
@@ -38,8 +38,9 @@
 void fake_store::add_change(const std::string& kind, const std::string& object, bool removed)
 {
     const std::string flag = removed ? "true" : "false";
-    this->history.push_back(
-        {this->revision, kind, R"({"removed":)" + flag + R"(,"object":)" + object + "}"});
+    this->history.push_back({this->revision, kind,
+                             R"({"removed":)" + flag + R"(,"object":)" + object + "}",
+                             std::chrono::steady_clock::now()});
 }
 
 void fake_store::put(const std::string& kind, const std::string& name, const std::string& spec)
@@ -68,6 +69,19 @@
         this->waiting, [&](const waiter& item) { return item.kind == kind && item.stale; }));
 }
 
+std::set<std::string> fake_store::linearizable_watchers(const std::string& kind) const
+{
+    std::set<std::string> addresses;
+    for (const waiter& item : this->waiting) {
+        if (item.kind != kind || item.stale) continue;
+        char* address = nullptr;
+        ev_uint16_t port = 0;
+        evhttp_connection_get_peer(evhttp_request_get_connection(item.request), &address, &port);
+        addresses.insert(address);
+    }
+    return addresses;
+}
+
 void fake_store::take(evhttp_request* request)
 {
     const std::string path = path_of(request);
@@ -132,17 +146,27 @@
         this);
 }
 
+/** Revision of the state that a watch returns. */
+std::uint64_t fake_store::visible(bool stale, instant now) const
+{
+    if (!stale) return this->revision;
+    const auto newer = std::ranges::find_if(
+        this->history, [&](const change& each) { return each.at + this->stale_by > now; });
+    return newer == this->history.end() ? this->revision : newer->revision - 1;
+}
+
 /** Answers when there is a change or the wait is over. */
 bool fake_store::answer(const waiter& item, instant now)
 {
+    const std::uint64_t newest = std::max(this->visible(item.stale, now), item.from);
     std::vector<std::string> events;
     for (const change& each : this->history) {
-        if (each.kind == item.kind && each.revision > item.from) events.push_back(each.event);
+        if (each.kind == item.kind && each.revision > item.from && each.revision <= newest)
+            events.push_back(each.event);
     }
     if (events.empty() && now < item.until) return false;
     reply_json(item.request, 200,
-               R"({"events":[)" + join(events) + R"(],"asOf":)" + std::to_string(this->revision) +
-                   "}");
+               R"({"events":[)" + join(events) + R"(],"asOf":)" + std::to_string(newest) + "}");
     return true;
 }
 
--- a/test/fakes/fake_store.h
+++ b/test/fakes/fake_store.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <list>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,7 +39,12 @@
     /** Number of these that allow a response that is seconds old. */
     [[nodiscard]] std::size_t stale_waiting_for(const std::string& kind) const;
 
+    /** Addresses from which linearizable watches of a kind are pending. */
+    [[nodiscard]] std::set<std::string> linearizable_watchers(const std::string& kind) const;
+
     store_fault fault = store_fault::none;
+    /** Age of the state that stale watches return. */
+    worksshift::duration stale_by{};
     std::size_t page_size = 500;
     std::size_t lists = 0;   ///< calls that came
     std::size_t watches = 0; ///< calls that came
@@ -48,6 +54,7 @@
         std::uint64_t revision = 0;
         std::string kind;
         std::string event; ///< as it is sent
+        worksshift::instant at{};
     };
     struct waiter {
         evhttp_request* request = nullptr;
@@ -60,6 +67,7 @@
     void take(evhttp_request* request);
     void list(evhttp_request* request, const std::string& kind);
     void watch(evhttp_request* request, const std::string& kind, std::uint64_t from);
+    [[nodiscard]] std::uint64_t visible(bool stale, worksshift::instant now) const;
     bool answer(const waiter& item, worksshift::instant now);
     void answer_waiting();
     void add_change(const std::string& kind, const std::string& object, bool removed);
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -19,8 +19,12 @@
 constexpr std::size_t back_to_back_callers_per_router = 2;
 constexpr duration fault_period = milliseconds(200);
 constexpr duration planned_work_period = milliseconds(500);
-/** One seed in this many has planned work only: nothing else excuses a response that is cut off. */
+/** One seed in this many has planned work only, and one faults of the store's readers only. */
 constexpr std::uint64_t planned_work_seeds = 3;
+constexpr std::uint64_t store_readers_seeds = 5;
+constexpr duration store_readers_period = milliseconds(6500);
+/** Age of stale reads in runs with faults of the store's readers. */
+constexpr duration store_lag = seconds(4);
 constexpr duration max_recovery_time = seconds(10);
 /** A longer step delays callers, servers and the store alike, so it counts as a stall. */
 constexpr duration max_step_time = milliseconds(150);
@@ -42,15 +46,21 @@
     return text.replace(text.find(idle), idle.size(), R"("idleTimeoutMs":5000)");
 }
 
+/** Address from which a router's calls come to the store. */
+std::string store_source(std::size_t router)
+{
+    return "127.9.1." + std::to_string(router + 1);
+}
+
 } // namespace
 
 soak_run::soak_run(std::uint64_t seed, std::size_t routers, duration span)
-    : random(seed), back_to_back_random(seed), planned_work_only(seed % planned_work_seeds == 0),
-      span(span), fleet(routers), guarantees(routers), now(std::chrono::steady_clock::now())
+    : random(seed), back_to_back_random(seed), faults(fault_kind_of(seed)), span(span),
+      fleet(routers), guarantees(routers), now(std::chrono::steady_clock::now())
 {
     for (std::size_t i = 0; i < routers; ++i) {
-        this->store_proxies.push_back(
-            std::make_unique<loopback_proxy>(this->fleet.base.get(), this->fleet.store_address(i)));
+        this->store_proxies.push_back(std::make_unique<loopback_proxy>(
+            this->fleet.base.get(), this->fleet.store_address(i), store_source(i)));
         this->fleet.set_store_address(i, this->store_proxies.back()->address());
     }
     this->callers.resize(routers * (callers_per_router + back_to_back_callers_per_router));
@@ -58,6 +68,12 @@
         this->callers[i].back_to_back = true;
 }
 
+soak_run::fault_kind soak_run::fault_kind_of(std::uint64_t seed)
+{
+    if (seed % store_readers_seeds == store_readers_seeds - 1) return fault_kind::store_readers;
+    return seed % planned_work_seeds == 0 ? fault_kind::planned_work : fault_kind::all;
+}
+
 std::size_t soak_run::draw(std::size_t below)
 {
     return std::uniform_int_distribution<std::size_t>(0, below - 1)(this->random);
@@ -70,6 +86,7 @@
 
 void soak_run::prepare()
 {
+    if (this->faults == fault_kind::store_readers) this->fleet.store->stale_by = store_lag;
     this->change_config();
     for (std::size_t i = 0; i < servers_per_service; ++i) {
         this->add_server("desk");
@@ -194,12 +211,21 @@
     const instant end = this->now + this->span;
     instant next_fault = this->now + guarantee_checker::min_undisturbed_time;
     while (this->now < end) {
-        if (this->now >= next_fault && this->planned_work_only) {
-            this->do_planned_work();
-            next_fault = this->now + planned_work_period;
-        } else if (this->now >= next_fault) {
-            this->inject_random_fault();
-            next_fault = this->now + fault_period;
+        if (this->now >= next_fault) {
+            switch (this->faults) {
+            case fault_kind::planned_work:
+                this->do_planned_work();
+                next_fault = this->now + planned_work_period;
+                break;
+            case fault_kind::store_readers:
+                this->inject_store_readers_fault();
+                next_fault = this->now + store_readers_period;
+                break;
+            case fault_kind::all:
+                this->inject_random_fault();
+                next_fault = this->now + fault_period;
+                break;
+            }
         }
         this->step();
     }
@@ -445,6 +471,43 @@
     }
 }
 
+/** All routers that read the store linearizably are lost, or their path to the store, right before
+ * a change. The other routers are undisturbed. */
+void soak_run::inject_store_readers_fault()
+{
+    const std::set<std::string> readers = this->fleet.store->linearizable_watchers("config");
+    const std::size_t kind = this->draw(6);
+    const duration lasting = this->draw_span(3000, 5000);
+    for (std::size_t router = 0; router < this->fleet.routers.size(); ++router) {
+        if (!readers.contains(store_source(router))) continue;
+        loopback_proxy& proxy = *this->store_proxies[router];
+        this->guarantees.note_disturbance(router, this->now);
+        switch (kind) {
+        case 0:
+            this->fleet.routers[router].signal(SIGKILL);
+            break;
+        case 1:
+            this->fleet.routers[router].signal(SIGSTOP);
+            this->paused[router] = this->now + lasting;
+            break;
+        case 2:
+            this->fleet.routers[router].signal(SIGTERM);
+            this->guarantees.stop(router, this->now);
+            break;
+        default:
+            proxy.set_fault(static_cast<link_fault>(kind - 1));
+            this->faulty_proxies[&proxy] = this->now + lasting;
+            break;
+        }
+    }
+    const instant change_at = this->now + this->draw_span(50, 1500);
+    while (this->now < change_at)
+        this->step();
+    this->change_config();
+    this->remove_random_server();
+    this->add_server(this->draw(2) == 0 ? "desk" : "llm");
+}
+
 /** A fault of the store, or of one router's connections to it. */
 void soak_run::inject_store_fault(std::size_t router)
 {
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -70,6 +71,7 @@
     static void remember_broken_stream(caller& from, const request_record& sent_request);
     void inject_random_fault();
     void do_planned_work();
+    void inject_store_readers_fault();
     void inject_router_fault(std::size_t router);
     void inject_store_fault(std::size_t router);
     void inject_server_link_fault();
@@ -79,7 +81,14 @@
 
     std::mt19937_64 random;
     std::mt19937_64 back_to_back_random; ///< for back_to_back callers and their streams
-    bool planned_work_only;
+    /** Which faults a seed has. */
+    enum class fault_kind : std::uint8_t {
+        all,
+        planned_work,  ///< only: nothing else excuses a response that is cut off
+        store_readers, ///< only: of the routers that read the store linearizably, beside changes
+    };
+    static fault_kind fault_kind_of(std::uint64_t seed);
+    fault_kind faults;
     worksshift::duration span;
     support::router_fleet fleet;
     guarantee_checker guarantees;
--- a/test/support/digest_fleet.cpp
+++ b/test/support/digest_fleet.cpp
@@ -115,15 +115,14 @@
     receiver->second.bytes_received += item.bytes.size();
     fleet_table& fleet = receiver->second.rounds.fleet();
     const std::uint32_t sender = first_address + static_cast<std::uint32_t>(item.from);
-    std::visit(visitor{[&](fleet_digest&& digest) {
-                           const fleet_vm* from =
-                               fleet.apply_digest(sender, std::move(digest), this->now);
-                           if (from != nullptr && this->on_digest) this->on_digest(item.to, *from);
-                       },
-                       [&](const store_reader_notice& notice) {
-                           fleet.apply_notice(sender, notice, this->now);
-                       }},
-               decode_datagram(item.bytes, "vm"));
+    const auto apply_digest = [&](fleet_digest&& digest) {
+        const fleet_vm* from = fleet.apply_digest(sender, std::move(digest), this->now);
+        if (from != nullptr && this->on_digest) this->on_digest(item.to, *from);
+    };
+    const auto apply_notice = [&](const store_reader_notice& notice) {
+        fleet.apply_notice(sender, notice, this->now);
+    };
+    std::visit(visitor{apply_digest, apply_notice}, decode_datagram(item.bytes, "vm"));
 }
 
 void digest_fleet::send_round(std::size_t vm)
--- a/test/support/loopback_proxy.cpp
+++ b/test/support/loopback_proxy.cpp
@@ -3,10 +3,28 @@
 #include <algorithm>
 #include <chrono>
 
+#include "errors.h"
+
 namespace support {
 
 using namespace worksshift;
 
+namespace {
+
+/** A socket that is bound to an address; -1 if it is empty. */
+evutil_socket_t open_socket(const std::string& source)
+{
+    if (source.empty()) return -1;
+    const int opened = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const sockaddr_in from = to_socket_address({source, 0});
+    if (bind(opened, reinterpret_cast<const sockaddr*>(&from), sizeof from) != 0) {
+        throw user_error("bind", source, "the address cannot be used");
+    }
+    return opened;
+}
+
+} // namespace
+
 /** One side of a connection: bytes read from `socket` go to the other side. */
 struct loopback_proxy::connection_side {
     struct delayed_bytes {
@@ -30,8 +48,9 @@
     bool is_removable = false; ///< to be freed
 };
 
-loopback_proxy::loopback_proxy(event_base* base, const link_address& target)
-    : base(base), target(target),
+loopback_proxy::loopback_proxy(event_base* base, const link_address& target,
+                               const std::string& source)
+    : base(base), target(target), source(source),
       listener(base, [this](evutil_socket_t socket) { this->accept(socket); })
 {
 }
@@ -49,7 +68,8 @@
     connection.kind = this->kind;
     connection.caller.socket.reset(
         bufferevent_socket_new(this->base, socket, BEV_OPT_CLOSE_ON_FREE));
-    connection.target.socket.reset(bufferevent_socket_new(this->base, -1, BEV_OPT_CLOSE_ON_FREE));
+    connection.target.socket.reset(
+        bufferevent_socket_new(this->base, open_socket(this->source), BEV_OPT_CLOSE_ON_FREE));
     connection.target.is_target = true;
     for (connection_side* side : {&connection.caller, &connection.target}) {
         side->owner = &connection;
--- a/test/support/loopback_proxy.h
+++ b/test/support/loopback_proxy.h
@@ -26,7 +26,9 @@
 
 class loopback_proxy {
 public:
-    loopback_proxy(event_base* base, const worksshift::link_address& target);
+    /** \p source: IPv4 address from which it connects to the target; empty: any. */
+    loopback_proxy(event_base* base, const worksshift::link_address& target,
+                   const std::string& source = {});
     ~loopback_proxy();
     loopback_proxy(const loopback_proxy&) = delete;
     loopback_proxy& operator=(const loopback_proxy&) = delete;
@@ -62,6 +64,7 @@
 
     event_base* base;
     worksshift::link_address target;
+    std::string source;
     loopback_listener listener;
     link_fault kind = link_fault::none;
     worksshift::duration delay{};
