--- a/test/support/digest_fleet.cpp
+++ b/test/support/digest_fleet.cpp
@@ -95,8 +95,7 @@
                 item.store_answers && item.watch_role.mode() == read_mode::linearizable;
             if (item.reads_store) item.store.confirmed_at = this->now;
         }
-        if (const auto notice = item.rounds.next_notice(item.reads_store, this->now))
-            this->send(vm, *notice);
+        this->send_notice(vm);
         if (item.rounds.due(this->now)) this->send_round(vm);
     }
 }
@@ -125,6 +124,14 @@
     std::visit(visitor{apply_digest, apply_notice}, decode_datagram(item.bytes, "vm"));
 }
 
+void digest_fleet::send_notice(std::size_t vm)
+{
+    digest_vm& item = this->vms.at(vm);
+    const std::optional<outgoing_digest> notice =
+        item.rounds.next_notice(item.reads_store, this->now);
+    if (notice) this->send(vm, *notice);
+}
+
 void digest_fleet::send_round(std::size_t vm)
 {
     digest_vm& item = this->vms.at(vm);
--- a/test/support/digest_fleet.h
+++ b/test/support/digest_fleet.h
@@ -91,6 +91,7 @@
     void step();
     static worksshift::store_status known_store_state(const digest_vm& item);
     void deliver(const datagram& item);
+    void send_notice(std::size_t vm);
     void send_round(std::size_t vm);
     void send(std::size_t vm, const worksshift::outgoing_digest& message);
 
