Simpler: one encoder of datagrams, delegates by partial sort, readers sorted once

- The encoder of notices repeated that of digests; both call one function.
- delegates() sorted all VMs of the table, with a hash for each comparison, for the first two; it is called every 250 ms and in each round.
A partial sort gives the same two.
- store_readers() sorted although only the reports need the order, which sort again.
- store_watch asked twice whether it watches linearizably; the check for an answer now includes it.
- The file comment of watcher_selection still said that the delegates are in two data centres.

No processor time was measured.

--- a/src/fleet_digest.cpp
+++ b/src/fleet_digest.cpp
@@ -169,24 +169,29 @@
     load_items(archive, item.vms);
 }
 
-std::string encode(const fleet_digest& digest)
+namespace {
+
+template <class Message>
+std::string to_bytes(const Message& message)
 {
     std::ostringstream stream;
     {
         cereal::PortableBinaryOutputArchive archive(stream);
-        archive(digest);
+        archive(message);
     }
     return stream.str();
 }
 
+} // namespace
+
+std::string encode(const fleet_digest& digest)
+{
+    return to_bytes(digest);
+}
+
 std::string encode(const store_reader_notice& notice)
 {
-    std::ostringstream stream;
-    {
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(notice);
-    }
-    return stream.str();
+    return to_bytes(notice);
 }
 
 gossip_datagram decode_datagram(std::string_view bytes, const std::string& peer)
--- a/src/fleet_table.cpp
+++ b/src/fleet_table.cpp
@@ -288,8 +288,10 @@
     for (const auto& [address, vm] : this->table) {
         if (!vm.last.leaving && this->is_alive(vm, now)) candidates.push_back(address);
     }
-    std::ranges::sort(candidates, std::greater{}, delegate_rank);
-    candidates.resize(std::min(candidates.size(), delegates_per_fleet));
+    const std::size_t count = std::min(candidates.size(), delegates_per_fleet);
+    std::ranges::partial_sort(candidates, candidates.begin() + static_cast<std::ptrdiff_t>(count),
+                              std::greater{}, delegate_rank);
+    candidates.resize(count);
     return candidates;
 }
 
@@ -325,7 +327,6 @@
         if (vm.reads_store_at != instant{} && now - vm.reads_store_at <= timeout)
             readers.push_back(address);
     }
-    std::ranges::sort(readers, std::greater{}, delegate_rank);
     return readers;
 }
 
--- a/src/fleet_table.h
+++ b/src/fleet_table.h
@@ -153,7 +153,7 @@
 
     /** Applies a notice received from address \p from; ignored if that is not a known VM. */
     void apply_notice(std::uint32_t from, const store_reader_notice& notice, instant now);
-    /** Addresses of the other VMs that read the store linearizably, by descending rank. */
+    /** Addresses of the other VMs that read the store linearizably. */
     [[nodiscard]] std::vector<std::uint32_t> store_readers(instant now) const;
     /** Whether the VM at \p address precedes this one in the ranking from which `delegates` are
      * chosen. */
--- a/src/store_watch.cpp
+++ b/src/store_watch.cpp
@@ -94,8 +94,7 @@
 {
     // Jitter: 75% to 100% of the wait, so that the VMs' calls do not all end at once.
     const double jitter = 0.75 + 0.25 * std::uniform_real_distribution<>()(this->random);
-    const bool probes =
-        !this->responding || (this->mode == read_mode::linearizable && this->unconfirmed());
+    const bool probes = !this->responding || this->awaits_confirmation();
     const auto wait = probes
                           ? probe_wait
                           : std::chrono::duration_cast<milliseconds>(this->timing().wait * jitter);
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -119,7 +119,8 @@
      * store has answered such a call since the mode was set, and no call has failed since. */
     [[nodiscard]] bool reads_linearizably() const
     {
-        return this->receives_updates() && !this->unconfirmed();
+        return this->receives_updates() && this->mode == read_mode::linearizable &&
+               !this->awaits_confirmation();
     }
     /** Whether a response to the newest call is awaited. */
     [[nodiscard]] bool call_pending() const { return this->awaiting; }
@@ -136,11 +137,10 @@
 
 private:
     [[nodiscard]] const watch_timing& timing() const;
-    /** Whether the store has not answered a linearizable call in the present mode, or the mode is
-     * another one. */
-    [[nodiscard]] bool unconfirmed() const
+    /** Whether this VM is to watch linearizably, and the store has answered no such call since. */
+    [[nodiscard]] bool awaits_confirmation() const
     {
-        return this->mode != read_mode::linearizable || this->confirmed < this->mode_set_at;
+        return this->mode == read_mode::linearizable && this->confirmed < this->mode_set_at;
     }
     void prepare_list(const std::string& after);
     void prepare_watch();
--- a/src/watcher_selection.h
+++ b/src/watcher_selection.h
@@ -2,12 +2,12 @@
  * Decides which VMs watch the platform's store on behalf of the others, and in which read mode.
  *
  * The number of calls to the store would grow with the fleet if every VM watched it. Two VMs of the
- * whole fleet, the delegates, in two data centres, which all VMs choose by the same ranking, read
- * it linearizably; digests pass what they learn on to all others at once. In addition, the VMs with
- * the lowest incarnations among those of each data centre that the store answers are standby
- * watchers: they use stale reads, which may be seconds old and cost a tenth. A VM is a standby
- * watcher unless enough VMs of the same data centre are, so a VM that receives no digests, or only
- * those of VMs that the store refuses, still has a source.
+ * whole fleet, the delegates, which all VMs choose by the same ranking, read it linearizably;
+ * digests pass what they learn on to all others at once. In addition, the VMs with the lowest
+ * incarnations among those of each data centre that the store answers are standby watchers: they
+ * use stale reads, which may be seconds old and cost a tenth. A VM is a standby watcher unless
+ * enough VMs of the same data centre are, so a VM that receives no digests, or only those of VMs
+ * that the store refuses, still has a source.
  *
  * VMs that read linearizably, that is, whose linearizable watches the store answers, send the
  * standby watchers notices at short intervals, and digests report them. If fewer than two are known
@@ -70,6 +70,7 @@
         bool reads_linearizably = false; ///< linearizable watches are answered
     };
 
+    /** Decides whether this VM watches the store, and in which mode. To be called in each tick. */
     void update(const fleet_table& fleet, const store_access& access, instant now);
     /** Whether this VM watches the store. */
     [[nodiscard]] bool watching() const { return this->mode().has_value(); }
