--- a/test/support/router_fleet.cpp
+++ b/test/support/router_fleet.cpp
@@ -100,6 +100,31 @@
         this->base.get(), link_address{this->address_of(router), this->front_port}, receive_buffer);
 }
 
+link_address router_fleet::front(std::size_t router) const
+{
+    return {this->address_of(router), this->front_port};
+}
+
+link_address router_fleet::relay(std::size_t router) const
+{
+    return {this->address_of(router), this->relay_port};
+}
+
+link_address router_fleet::readiness(std::size_t router) const
+{
+    return {this->address_of(router), this->ready_port};
+}
+
+link_address router_fleet::peer(std::size_t router) const
+{
+    return {this->address_of(router), this->peer_port};
+}
+
+link_address router_fleet::metrics_address(std::size_t router) const
+{
+    return {this->address_of(router), this->metrics_port};
+}
+
 bool router_fleet::run_until(const std::function<bool()>& done, duration limit)
 {
     const instant end = std::chrono::steady_clock::now() + limit;
--- a/test/support/router_fleet.h
+++ b/test/support/router_fleet.h
@@ -47,6 +47,13 @@
     /** Sends one request and returns all bytes received until the response was complete, the
      * connection was closed, or five seconds passed. */
     std::string ask(std::size_t router, const std::string& text);
+    /** Where the router accepts callers, requests of other VMs, readiness checks, snapshots for
+     * other VMs, and metrics. */
+    [[nodiscard]] worksshift::link_address front(std::size_t router) const;
+    [[nodiscard]] worksshift::link_address relay(std::size_t router) const;
+    [[nodiscard]] worksshift::link_address readiness(std::size_t router) const;
+    [[nodiscard]] worksshift::link_address peer(std::size_t router) const;
+    [[nodiscard]] worksshift::link_address metrics_address(std::size_t router) const;
     /** Whether the router's readiness check succeeds. */
     bool ready(std::size_t router);
     /** Waits until all routers are ready; false if one is not within ten seconds. */
