One account of the memory and connections that callers can make a router hold

What callers saw: a process that ran out of memory, and with it all requests in progress; with more busy clients than descriptors, nobody else was let in.

Cause: a body was bounded per connection, and nothing bounded the sum. An announced length was checked only once the bytes had come, a refused body was kept for another second, a body in progress was copied for each attempt, strings grew to twice their size, 64 KB were read ahead on each connection, and freed blocks of bodies stayed with the allocator, which raises its threshold for blocks of their own. accept() failed at the last descriptor and nothing was closed to make room.

Change: caller_account counts connections, heads, bodies, requests in progress and unsent responses by charges that live as long as what they count. An announced body asks for its room with its head, is refused with 413 or 503 there, and is held once, whatever attempts and relays refer to it. Requests that stalled make room for others, large bodies leave a quarter to small ones. The receive buffer bounds what waits unread, responses announce the end of their connection while few are left, and connections idle for longest are closed. Freed memory goes back to the system. New settings memory-mb and max-descriptors; metrics and a log line for each refusal.

A body that makes progress may now take 60 s in place of 10, since the smaller receive buffer slows callers with a long round trip.

Why it works: every byte that callers cause is counted where it is held, and is refused before it comes or bounded by a buffer's size.

--- a/apps/worksshift_router.cpp
+++ b/apps/worksshift_router.cpp
@@ -5,11 +5,13 @@
 #include <iostream>
 
 #include "platform.h"
+#include "process.h"
 #include "router.h"
 
 int main(int count, char** arguments)
 {
     using namespace worksshift;
+    return_large_blocks();
     try {
         const router_settings options = parse_router_settings(count, arguments);
         if (options.help) {
--- /dev/null
+++ b/src/caller_account.cpp
@@ -0,0 +1,147 @@
+#include "caller_account.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace worksshift {
+
+namespace {
+
+/** Shares of the machine's memory. The rest is for the process itself, the fleet's tables and what
+ * the allocator cannot use. */
+constexpr double account_share = 0.4;
+constexpr double unread_share = 0.25;
+constexpr double output_share = 0.2;
+/** Shares of the sockets. */
+constexpr double connections_share = 0.4;
+constexpr double idle_servers_share = 0.1;
+/** Share of the account that requests with large bodies may take. */
+constexpr double large_share = 0.75;
+constexpr std::size_t max_output_bytes = std::size_t{32} * 1024 * 1024;
+/** Descriptors that are kept for files, and for the store, other VMs and the other ports; no more
+ * than these shares of a small number. */
+constexpr std::size_t file_descriptors = 200;
+constexpr std::size_t internal_descriptors = 256;
+
+std::size_t share_of(std::size_t whole, double share)
+{
+    return static_cast<std::size_t>(static_cast<double>(whole) * share);
+}
+
+} // namespace
+
+caller_bounds bounds_of(const machine_limits& machine)
+{
+    caller_bounds bounds;
+    bounds.memory = share_of(machine.memory_bytes, account_share);
+    bounds.large_memory = share_of(bounds.memory, large_share);
+    bounds.output = std::min(max_output_bytes, share_of(machine.memory_bytes, output_share));
+    bounds.internal_connections = std::min(internal_descriptors, machine.descriptors / 8);
+    bounds.sockets = machine.descriptors - std::min(file_descriptors, machine.descriptors / 4) -
+                     bounds.internal_connections;
+    // Each request in progress takes a connection to a server, too, and some of these are idle.
+    bounds.connections = std::min(share_of(machine.memory_bytes, unread_share) /
+                                      static_cast<std::size_t>(receive_buffer_bytes),
+                                  share_of(bounds.sockets, connections_share));
+    bounds.idle_server_connections = share_of(bounds.sockets, idle_servers_share);
+    return bounds;
+}
+
+std::string_view name_of(memory_use use)
+{
+    switch (use) {
+    case memory_use::connection:
+        return "connection";
+    case memory_use::incoming:
+        return "incoming";
+    case memory_use::request:
+        return "request";
+    case memory_use::response:
+        return "response";
+    }
+    return "";
+}
+
+void input_progress::add(std::size_t bytes, instant now)
+{
+    this->received += bytes;
+    if (this->received - this->counted < progress_bytes) return;
+    this->counted = this->received;
+    this->at = now;
+}
+
+std::size_t caller_account::missing(std::size_t bytes, bool large) const
+{
+    const std::size_t bound = large ? this->limits.large_memory : this->limits.memory;
+    const std::size_t wanted = this->total + bytes;
+    return wanted > bound ? wanted - bound : 0;
+}
+
+bool caller_account::has_room(std::size_t bytes, bool large) const
+{
+    return this->missing(bytes, large) == 0;
+}
+
+void caller_account::change(memory_use use, std::size_t before, std::size_t after)
+{
+    this->total = this->total - before + after;
+    std::size_t& held_for_use = this->by_use[static_cast<std::size_t>(use)];
+    held_for_use = held_for_use - before + after;
+}
+
+std::vector<std::size_t> caller_account::choose_to_refuse(std::span<const partial_request> partial,
+                                                          std::size_t needed, bool only_stalled,
+                                                          instant now)
+{
+    std::vector<std::size_t> order(partial.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::erase_if(order, [&](std::size_t index) {
+        const partial_request& item = partial[index];
+        return item.bytes == 0 || (only_stalled && now - item.progress_at < stalled_after);
+    });
+    const auto byte_seconds = [&](std::size_t index) {
+        const std::chrono::duration<double> age = now - partial[index].progress_at;
+        return static_cast<double>(partial[index].bytes) * age.count();
+    };
+    std::ranges::stable_sort(order, std::greater<>{}, byte_seconds);
+    std::size_t freed = 0;
+    const auto enough = std::ranges::find_if(order, [&](std::size_t index) {
+        if (freed >= needed) return true;
+        freed += partial[index].bytes;
+        return false;
+    });
+    order.erase(enough, order.end());
+    return order;
+}
+
+memory_charge::memory_charge(memory_charge&& other) noexcept
+    : account(std::exchange(other.account, nullptr)), use(other.use),
+      bytes(std::exchange(other.bytes, 0))
+{
+}
+
+memory_charge& memory_charge::operator=(memory_charge&& other) noexcept
+{
+    std::swap(this->account, other.account);
+    std::swap(this->use, other.use);
+    std::swap(this->bytes, other.bytes);
+    return *this;
+}
+
+void memory_charge::set(std::size_t new_bytes)
+{
+    if (this->account == nullptr) return;
+    this->account->change(this->use, this->bytes, new_bytes);
+    this->bytes = new_bytes;
+}
+
+void memory_charge::set_use(memory_use new_use)
+{
+    const std::size_t held = this->bytes;
+    this->set(0);
+    this->use = new_use;
+    this->set(held);
+}
+
+} // namespace worksshift
--- a/src/caller_connections.cpp
+++ b/src/caller_connections.cpp
@@ -23,6 +23,8 @@
 constexpr duration linger_time = seconds(1);
 /** Timeout for receiving a complete body, counted from the end of the head. */
 constexpr duration body_timeout = seconds(10);
+/** The same for a body that still makes progress, as from a caller of a distant region. */
+constexpr duration max_body_time = seconds(60);
 /** A connection is closed when sent bytes stay unacknowledged for this long: the caller is
  * unreachable, and its response would stay buffered. Longer than callers wait for most responses,
  * so that a short network outage costs none of them. */
@@ -32,8 +34,26 @@
  * as the connection closes cannot know whether its request ran. Longer than a round trip to
  * callers of the same region. */
 constexpr duration closing_idle_time = milliseconds(100);
-/** Maximum number of bytes buffered of pipelined requests while a response is in progress. */
-constexpr std::size_t max_read_ahead_bytes = std::size_t{64} * 1024;
+/** The same for a request that found no room: its caller may have to send the rest of a large body
+ * before it reads the response. */
+constexpr duration no_room_linger_time = seconds(4);
+/** Bytes that are discarded after a refusal, beyond the largest legal body. */
+constexpr std::size_t max_discarded_bytes = std::size_t{256} * 1024;
+/** Maximum number of bytes buffered of pipelined requests while a response is in progress: one read
+ * of the socket. */
+constexpr std::size_t max_read_ahead_bytes = std::size_t{4} * 1024;
+/** Retry-After of requests that found no room. Stalled ones are refused in that time. */
+constexpr std::string_view no_room_retry_after = "0.50";
+/** Connections are closed to make room once fewer than this share of the bound is free. */
+constexpr std::size_t free_connections_share = 8;
+/** An idle connection is not closed to make room before this time, in which a new caller's first
+ * request arrives. */
+constexpr duration min_idle_to_close = milliseconds(250);
+/** The same for one that lingers after its last response. */
+constexpr duration min_linger_to_close = milliseconds(100);
+/** Interval at which requests are checked again for stalled ones if none was found. */
+constexpr duration partial_check_period = milliseconds(50);
+constexpr duration pause_log_period = seconds(1);
 /** A pause of this length is logged. */
 constexpr duration long_pause = seconds(1);
 /** Bytes that the system buffers for a client beyond those it may have in flight. The system's own
@@ -51,6 +71,26 @@
     return std::chrono::steady_clock::now();
 }
 
+int status_of(input_refusal reason)
+{
+    switch (reason) {
+    case input_refusal::malformed:
+        return bad_request;
+    case input_refusal::head_too_large:
+        return head_too_large;
+    case input_refusal::body_too_large:
+        return content_too_large;
+    case input_refusal::too_slow:
+        return request_timeout;
+    case input_refusal::no_memory:
+    case input_refusal::no_socket:
+    case input_refusal::unknown_vm:
+    case input_refusal::stopping:
+        return unavailable;
+    }
+    return unavailable;
+}
+
 /** The result of recv() for one byte, which stays unread. */
 ssize_t peek(evutil_socket_t socket)
 {
@@ -79,6 +119,18 @@
     {
     }
 
+    /** Whether a request is being received. */
+    [[nodiscard]] bool is_receiving() const
+    {
+        return this->current_stage == stage::reading && !this->reader.idle();
+    }
+    /** Memory held by the request that is being received, in bytes. */
+    [[nodiscard]] std::size_t held_input() const
+    {
+        return this->charge.size() - connection_bytes +
+               (this->body == nullptr ? 0 : this->body->charge.size());
+    }
+
     enum class stage : std::uint8_t {
         reading,    ///< idle, or reading a request
         responding, ///< a request waits for its response, or the response is being sent
@@ -93,7 +145,11 @@
     stage current_stage = stage::reading;
     std::uint64_t request = 0; ///< 0: none in progress
     http_head head;
-    std::string body;
+    caller_body_ptr body; ///< nullptr: no request is being received
+    input_progress progress;
+    memory_charge charge;      ///< of the connection, its unparsed input and an incomplete head
+    std::size_t discarded = 0; ///< bytes read since the connection lingers
+    duration linger = linger_time;
     bool from_vm = false;
     bool keep_alive = true;
     bool chunked = false;  ///< the response is sent in chunks
@@ -136,26 +192,99 @@
         reinterpret_cast<const sockaddr*>(&address), sizeof address));
     if (created == nullptr)
         throw user_error("listen", at.address + ":" + std::to_string(at.port), failure);
+    // Connections inherit it. Shrinking the buffer of an accepted one would shrink a window that
+    // its peer knows, which then sends a few bytes at a time.
+    setsockopt(evconnlistener_get_fd(created.get()), SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+               sizeof receive_buffer_bytes);
     evconnlistener_set_error_cb(created.get(), [](evconnlistener*, void* self) {
-        static_cast<caller_connections*>(self)->pause_accepting();
+        static_cast<caller_connections*>(self)->pause_accepting("accept_failed",
+                                                                std::strerror(errno));
     });
     return created;
 }
 
 caller_connections::~caller_connections() = default;
 
-/** Called when accept() failed, usually because no file descriptor is free. New connections wait in
- * the kernel's queue until the next sweep. */
-void caller_connections::pause_accepting()
+void caller_connections::set_caller_bounds(const caller_bounds& bounds)
 {
-    log_event(log_level::warn, "accept_failed",
-              {{"reason", std::strerror(errno)}, {"connections", this->connections.size()}});
+    this->held.set_bounds(bounds);
+    this->output_rules = output_limits({.total = bounds.output});
+}
+
+/** Called when accept() failed, or when the bound of connections is reached. New connections wait
+ * in the kernel's queue until the next sweep. */
+void caller_connections::pause_accepting(std::string_view event, std::string_view reason)
+{
+    ++this->pauses;
+    const instant time = now();
+    if (time - this->pause_logged_at >= pause_log_period) {
+        this->pause_logged_at = time;
+        log_event(log_level::warn, event,
+                  {{"reason", reason},
+                   {"connections", this->connections.size()},
+                   {"bound", this->held.bounds().connections},
+                   {"other_sockets", this->other_sockets()},
+                   {"pauses", this->pauses}});
+    }
     for (evconnlistener* paused : {this->listener.get(), this->vm_listener.get()}) {
         if (paused != nullptr) evconnlistener_disable(paused);
     }
     this->accepting_paused = true;
 }
 
+void caller_connections::resume_accepting()
+{
+    if (!this->has_connection_room() || !std::exchange(this->accepting_paused, false)) return;
+    for (evconnlistener* paused : {this->listener.get(), this->vm_listener.get()}) {
+        if (paused != nullptr) evconnlistener_enable(paused);
+    }
+}
+
+bool caller_connections::has_connection_room() const
+{
+    const caller_bounds& bounds = this->held.bounds();
+    return this->connections.size() < bounds.connections &&
+           this->connections.size() + this->other_sockets() < bounds.sockets;
+}
+
+/** Whether so few connections are left that callers have to take turns. */
+bool caller_connections::is_crowded() const
+{
+    const std::size_t bound = this->held.bounds().connections;
+    return this->connections.size() > bound - bound / free_connections_share;
+}
+
+/** Closes connections without a request, those idle for longest first, while they are crowded. */
+void caller_connections::make_room_for_connections(instant time)
+{
+    if (!this->is_crowded()) return;
+    std::vector<connection_state*> idle;
+    for (const auto& [id, connection] : this->connections) {
+        const duration age = time - connection->since;
+        const bool unused = connection->current_stage == connection_state::stage::reading &&
+                            connection->reader.idle() && age >= min_idle_to_close;
+        const bool over = connection->current_stage == connection_state::stage::lingering &&
+                          age >= min_linger_to_close;
+        if (unused || over) idle.push_back(connection.get());
+    }
+    std::ranges::sort(idle, {}, &connection_state::since);
+    const std::size_t bound = this->held.bounds().connections;
+    const std::size_t surplus = this->connections.size() - (bound - bound / free_connections_share);
+    std::size_t closed = 0;
+    for (connection_state* connection : idle) {
+        if (closed == surplus) break;
+        // One that was sent a request in the meantime is kept.
+        const bool lingering = connection->current_stage == connection_state::stage::lingering;
+        if (!lingering && has_unread_input(bufferevent_getfd(connection->socket.get()))) continue;
+        this->drop(*connection);
+        ++closed;
+    }
+    if (closed == 0) return;
+    this->room_closed += closed;
+    log_event(log_level::info, "idle_connections_closed",
+              {{"closed", closed}, {"connections", this->connections.size()}, {"bound", bound}});
+}
+
 void caller_connections::accept_vm(evutil_socket_t socket, const sockaddr* from)
 {
     const std::uint32_t address =
@@ -167,7 +296,7 @@
     log_event(log_level::warn, "vm_connection_refused",
               {{"peer", to_text(address)}, {"reason", "not a known VM"}});
     // A VM that is not known here yet must learn that its request was not run.
-    this->refuse(connection, unavailable, "not a known VM", relay_refused_header);
+    this->refuse(connection, input_refusal::unknown_vm, "not a known VM");
 }
 
 caller_connections::connection_state& caller_connections::accept(evutil_socket_t socket,
@@ -179,6 +308,8 @@
     connection->owner = this;
     connection->from_vm = from_vm;
     connection->since = now();
+    connection->charge = memory_charge(this->held, memory_use::connection);
+    connection->charge.set(connection_bytes);
     set_no_delay(socket);
     set_unacknowledged_timeout(socket, caller_unacknowledged_timeout);
     set_unsent_limit(socket, system_unsent_bytes);
@@ -220,15 +351,33 @@
     bufferevent_setwatermark(connection->socket.get(), EV_READ, 0, max_read_ahead_bytes);
     bufferevent_enable(connection->socket.get(), EV_READ);
     this->connections.emplace(connection->id, std::move(created));
+    if (!this->has_connection_room())
+        this->pause_accepting("accept_paused", "too many connections");
     return *connection;
 }
 
-void caller_connections::handle_head(connection_state& connection, const http_head& head)
+void caller_connections::handle_head(connection_state& connection, http_head& head)
 {
-    connection.head = head;
-    connection.body.clear();
-    connection.since = now();
-    const std::string* expect = head.find("expect");
+    connection.since = this->read_at;
+    connection.progress.begin(this->read_at);
+    connection.head = std::move(head);
+    const std::uint64_t length = connection.head.body_length.value_or(0);
+    if (length > this->limits.max_body_bytes) {
+        this->refuse(connection, input_refusal::body_too_large, "body too large");
+        return;
+    }
+    const bool large = length >= large_body_bytes;
+    const std::size_t needed = request_bytes + 2 * size_in_memory(connection.head) + length;
+    connection.charge.set(connection_bytes);
+    if (!this->make_room(needed, large, &connection, this->read_at)) {
+        this->refuse(connection, input_refusal::no_memory, "not run: no memory for the request");
+        return;
+    }
+    connection.body = std::make_shared<caller_body>();
+    connection.body->charge = memory_charge(this->held, memory_use::incoming);
+    connection.body->charge.set(needed);
+    connection.body->bytes.reserve(length);
+    const std::string* expect = connection.head.find("expect");
     if (expect != nullptr && header_names_equal(*expect, "100-continue")) {
         constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
         evbuffer_add(bufferevent_get_output(connection.socket.get()), continue_response.data(),
@@ -240,33 +389,127 @@
 void caller_connections::handle_body(connection_state& connection, std::string_view bytes)
 {
     if (connection.current_stage != connection_state::stage::reading) return;
-    if (connection.body.size() + bytes.size() > this->limits.max_body_bytes) {
-        this->refuse(connection, content_too_large, "body too large");
+    const std::size_t size = connection.body->bytes.size() + bytes.size();
+    if (size > this->limits.max_body_bytes) {
+        this->refuse(connection, input_refusal::body_too_large, "body too large");
+        return;
+    }
+    if (!this->grow_body(connection, size)) {
+        this->refuse(connection, input_refusal::no_memory, "not run: no memory for the request");
         return;
     }
-    connection.body.append(bytes);
+    connection.progress.add(bytes.size(), this->read_at);
+    connection.body->bytes.append(bytes);
+}
+
+/** Makes room for \p size bytes of a body whose length was not announced. */
+bool caller_connections::grow_body(connection_state& connection, std::size_t size)
+{
+    caller_body& body = *connection.body;
+    const std::size_t capacity = body.bytes.capacity();
+    if (size <= capacity) return true;
+    constexpr std::size_t min_step = std::size_t{4} * 1024;
+    constexpr std::size_t max_step = std::size_t{64} * 1024;
+    const std::size_t step = std::clamp(capacity, min_step, std::max(max_step, capacity / 4));
+    const std::size_t grown = std::max(size, capacity + step);
+    const bool large = grown > large_body_bytes;
+    const std::size_t added = grown - capacity;
+    if (!this->make_room(added, large, &connection, this->read_at)) return false;
+    body.charge.set(body.charge.size() + added);
+    body.bytes.reserve(grown);
+    return true;
+}
+
+/** Whether \p bytes more can be held, if need be after stalled requests have been refused.
+ * \p asking: the connection that needs them. */
+bool caller_connections::make_room(std::size_t bytes, bool large, const connection_state* asking,
+                                   instant time)
+{
+    if (this->held.has_room(bytes, large)) return true;
+    if (time - this->partial_checked_at < partial_check_period) return false;
+    this->refuse_partial(this->held.missing(bytes, large), true, asking, time);
+    if (this->held.has_room(bytes, large)) return true;
+    this->partial_checked_at = time;
+    return false;
+}
+
+/** Refuses requests that are not received in full, so that \p needed bytes become free. */
+void caller_connections::refuse_partial(std::size_t needed, bool only_stalled,
+                                        const connection_state* asking, instant time)
+{
+    std::vector<connection_state*> receiving;
+    std::vector<partial_request> partial;
+    for (const auto& [id, connection] : this->connections) {
+        if (!connection->is_receiving() || connection.get() == asking) continue;
+        receiving.push_back(connection.get());
+        partial.push_back({connection->held_input(), connection->progress.at});
+    }
+    for (const std::size_t index :
+         caller_account::choose_to_refuse(partial, needed, only_stalled, time)) {
+        this->refuse(*receiving[index], input_refusal::no_memory,
+                     "not run: no memory for the request");
+        free_input(*receiving[index]);
+    }
+}
+
+/** Frees what was received of a request that is refused. Must not be called while the connection is
+ * being read. */
+void caller_connections::free_input(connection_state& connection)
+{
+    connection.reader.discard();
+    evbuffer* input = bufferevent_get_input(connection.socket.get());
+    evbuffer_drain(input, evbuffer_get_length(input));
+    connection.charge.set(connection_bytes);
+}
+
+void caller_connections::update_charge(connection_state& connection) const
+{
+    const std::size_t head =
+        connection.reader.head_complete() ? 0 : 2 * connection.reader.held_bytes();
+    const std::size_t input = evbuffer_get_length(bufferevent_get_input(connection.socket.get()));
+    connection.charge.set(connection_bytes + head + input);
 }
 
 void caller_connections::read(connection_state& connection)
 {
     evbuffer* input = bufferevent_get_input(connection.socket.get());
-    if (connection.current_stage == connection_state::stage::lingering)
+    this->read_at = now();
+    if (connection.current_stage == connection_state::stage::lingering) {
+        connection.discarded += evbuffer_get_length(input);
         evbuffer_drain(input, evbuffer_get_length(input));
+        if (connection.discarded > this->limits.max_body_bytes + max_discarded_bytes)
+            this->drop(connection);
+    }
     while (connection.current_stage == connection_state::stage::reading &&
            evbuffer_get_length(input) > 0) {
-        if (connection.reader.idle()) connection.since = now();
+        if (connection.reader.idle()) {
+            connection.since = this->read_at;
+            connection.progress.begin(this->read_at);
+        }
         connection.reader.set_max_head_bytes(this->limits.max_header_bytes);
         const read_result result = connection.reader.read(input);
-        if (connection.current_stage != connection_state::stage::reading) return;
-        if (result == read_result::need_more) return;
+        if (connection.current_stage != connection_state::stage::reading) {
+            free_input(connection);
+            return;
+        }
+        if (result == read_result::need_more) break;
         if (result == read_result::message_complete) {
             this->deliver_request(connection);
         } else if (result == read_result::head_too_large) {
-            this->refuse(connection, head_too_large, "head too large");
+            this->refuse(connection, input_refusal::head_too_large, "head too large");
         } else {
-            this->refuse(connection, bad_request, "not a request");
+            this->refuse(connection, input_refusal::malformed, "not a request");
         }
     }
+    if (connection.current_stage == connection_state::stage::lingering) {
+        free_input(connection);
+        return;
+    }
+    this->update_charge(connection);
+    for (const bool only_stalled : {true, false}) {
+        if (!this->held.exceeded()) return;
+        this->refuse_partial(this->held.missing(0, false), only_stalled, nullptr, this->read_at);
+    }
 }
 
 void caller_connections::deliver_request(connection_state& connection)
@@ -279,6 +522,11 @@
         this->drop(connection);
         return;
     }
+    // The connection to a server takes a socket, too.
+    if (this->connections.size() + this->other_sockets() >= this->held.bounds().sockets) {
+        this->refuse(connection, input_refusal::no_socket, "not run: no socket for the request");
+        return;
+    }
     connection.current_stage = connection_state::stage::responding;
     connection.since = now();
     connection.keep_alive = connection.head.keep_alive;
@@ -286,24 +534,73 @@
     connection.long_pause_logged = false;
     connection.request = this->next_request++;
     this->in_progress[connection.request] = &connection;
-    this->on_request.emit({connection.request, std::move(connection.head),
-                           std::move(connection.body), connection.from_vm});
-    connection.head = http_head{};
-    connection.body.clear();
+    connection.body->charge.set_use(memory_use::request);
+    this->on_request.emit({connection.request, std::exchange(connection.head, {}),
+                           std::exchange(connection.body, nullptr), connection.from_vm});
+}
+
+std::string_view name_of(input_refusal reason)
+{
+    switch (reason) {
+    case input_refusal::malformed:
+        return "malformed";
+    case input_refusal::head_too_large:
+        return "head_too_large";
+    case input_refusal::body_too_large:
+        return "body_too_large";
+    case input_refusal::too_slow:
+        return "too_slow";
+    case input_refusal::no_memory:
+        return "no_memory";
+    case input_refusal::no_socket:
+        return "no_socket";
+    case input_refusal::unknown_vm:
+        return "unknown_vm";
+    case input_refusal::stopping:
+        return "stopping";
+    }
+    return "";
 }
 
-/** Rejects a request that cannot be read completely, and closes the connection afterwards. */
-void caller_connections::refuse(connection_state& connection, int status, std::string_view text,
-                                std::string_view extra_header)
+void caller_connections::log_refusal(const connection_state& connection, input_refusal reason) const
 {
+    const std::string* id = connection.head.find("x-request-id");
+    const caller_bounds& bounds = this->held.bounds();
     log_event(log_level::info, "request_refused",
-              {{"step", "read"}, {"status", status}, {"reason", text}});
+              {{"step", "read"},
+               {"request", id == nullptr ? std::string() : *id},
+               {"status", status_of(reason)},
+               {"reason", name_of(reason)},
+               {"from_vm", connection.from_vm ? 1 : 0},
+               {"announced", connection.head.body_length.value_or(0)},
+               {"received", connection.body == nullptr ? 0 : connection.body->bytes.size()},
+               {"unchanged_ms", (now() - connection.progress.at) / milliseconds(1)},
+               {"held", this->held.held()},
+               {"held_incoming", this->held.held(memory_use::incoming)},
+               {"bound", bounds.memory},
+               {"connections", this->connections.size()}});
+}
+
+/** Rejects a request that cannot be read completely, and closes the connection afterwards. */
+void caller_connections::refuse(connection_state& connection, input_refusal reason,
+                                std::string_view text)
+{
+    this->log_refusal(connection, reason);
+    ++this->refusals[static_cast<std::size_t>(reason)];
+    const int status = status_of(reason);
+    const bool no_room = reason == input_refusal::no_memory || reason == input_refusal::no_socket;
     connection.keep_alive = false;
+    connection.body.reset();
+    connection.head = {};
+    connection.linger = no_room ? no_room_linger_time : linger_time;
     std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
     head.append(reason_phrase(status)).append("\r\n");
     append_header(head, "Connection", "close");
     append_header(head, "Content-Length", std::to_string(text.size()));
-    if (!extra_header.empty()) append_header(head, extra_header, text);
+    if (no_room) append_header(head, "Retry-After", no_room_retry_after);
+    // A VM that relays the request must learn that it was not run.
+    const bool not_run = status == unavailable;
+    if (not_run && connection.from_vm) append_header(head, relay_refused_header, text);
     head.append("\r\n").append(text);
     evbuffer_add(bufferevent_get_output(connection.socket.get()), head.data(), head.size());
     flush_output(connection.socket.get());
@@ -353,7 +650,7 @@
 {
     connection_state* connection = this->find(request);
     if (connection == nullptr) return;
-    if (this->closing) connection->keep_alive = false;
+    if (this->closing || this->is_crowded()) connection->keep_alive = false;
     const std::string text = this->write_head(*connection, head, body.size());
     evbuffer* out = bufferevent_get_output(connection->socket.get());
     evbuffer_add(out, text.data(), text.size());
@@ -381,7 +678,7 @@
 {
     connection_state* connection = this->find(request);
     if (connection == nullptr) return;
-    if (this->closing) connection->keep_alive = false;
+    if (this->closing || this->is_crowded()) connection->keep_alive = false;
     connection->chunked = true;
     const std::string text = this->write_head(*connection, head, std::nullopt);
     evbuffer_add(bufferevent_get_output(connection->socket.get()), text.data(), text.size());
@@ -427,6 +724,7 @@
     connection.request = 0;
     connection.since = now();
     if (!connection.keep_alive) {
+        free_input(connection);
         connection.current_stage = connection_state::stage::lingering;
         ::shutdown(bufferevent_getfd(connection.socket.get()), SHUT_WR);
         return;
@@ -453,6 +751,8 @@
     this->output.bytes -= connection.output.buffered;
     if (connection.output.buffered > 0) --this->output.clients;
     connection.output.buffered = 0;
+    this->output_charge.set(this->output.bytes);
+    connection.body.reset();
     bufferevent_disable(connection.socket.get(), EV_READ | EV_WRITE);
     this->dropped.push_back(connection.id);
     if (request != 0 && this->in_progress.erase(request) > 0) this->on_disconnect.emit(request);
@@ -463,15 +763,19 @@
     const duration age = time - connection.since;
     switch (connection.current_stage) {
     case connection_state::stage::lingering:
-        if (age > linger_time) this->drop(connection);
+        if (age > connection.linger) this->drop(connection);
         return;
     case connection_state::stage::reading:
         if (connection.reader.idle()) {
             if (age > this->limits.idle_timeout) this->drop(connection);
         } else if (connection.reader.head_complete()) {
-            if (age > body_timeout) this->refuse(connection, request_timeout, "body too slow");
+            const bool moving = time - connection.progress.at < stalled_after;
+            if (age <= (moving ? max_body_time : body_timeout)) return;
+            this->refuse(connection, input_refusal::too_slow, "body too slow");
+            free_input(connection);
         } else if (age > this->limits.header_timeout) {
-            this->refuse(connection, request_timeout, "head too slow");
+            this->refuse(connection, input_refusal::too_slow, "head too slow");
+            free_input(connection);
         }
         return;
     case connection_state::stage::responding:
@@ -487,6 +791,7 @@
     const std::size_t before = connection.output.buffered;
     connection.output.buffered = change.orig_size + change.n_added - change.n_deleted;
     this->output.bytes += connection.output.buffered - before;
+    this->output_charge.set(this->output.bytes);
     if (before == 0 && connection.output.buffered > 0) ++this->output.clients;
     if (before > 0 && connection.output.buffered == 0) --this->output.clients;
     connection.has_read = connection.has_read || before == 0 || change.n_deleted > 0;
@@ -586,13 +891,10 @@
     for (const std::uint64_t id : this->dropped)
         this->connections.erase(id);
     this->dropped.clear();
-    if (std::exchange(this->accepting_paused, false)) {
-        for (evconnlistener* paused : {this->listener.get(), this->vm_listener.get()}) {
-            if (paused != nullptr) evconnlistener_enable(paused);
-        }
-    }
+    this->resume_accepting();
     for (const auto& [id, connection] : this->connections)
         this->check_timeouts(*connection, time);
+    this->make_room_for_connections(time);
     this->check_slow_clients(time);
 }
 
@@ -614,8 +916,8 @@
         const bool incomplete = connection->current_stage == connection_state::stage::reading &&
                                 !connection->reader.idle();
         if (!incomplete) continue;
-        this->refuse(*connection, unavailable, "not run: the VM is stopping",
-                     connection->from_vm ? relay_refused_header : std::string_view{});
+        this->refuse(*connection, input_refusal::stopping, "not run: the VM is stopping");
+        free_input(*connection);
     }
 }
 
--- a/src/http_wire.cpp
+++ b/src/http_wire.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <limits>
 
 #include <strings.h>
 
@@ -47,6 +48,18 @@
     return found == this->headers.end() ? nullptr : &found->value;
 }
 
+std::size_t size_in_memory(const http_head& head)
+{
+    // Strings of up to 15 bytes are stored in place.
+    const auto allocated = [](const std::string& text) {
+        return text.capacity() > std::string().capacity() ? text.capacity() : 0;
+    };
+    std::size_t size = allocated(head.target) + head.headers.capacity() * sizeof(header);
+    for (const header& entry : head.headers)
+        size += allocated(entry.name) + allocated(entry.value);
+    return size;
+}
+
 http_reader::http_reader(message_kind reader_side, std::size_t max_head_bytes)
     : reader_side(reader_side), max_head_bytes(max_head_bytes)
 {
@@ -118,6 +131,9 @@
     this->head.keep_alive = http_should_keep_alive(&this->parser) != 0;
     if (this->reader_side == message_kind::requests) {
         this->head.method = http_method_str(static_cast<http_method>(this->parser.method));
+        constexpr std::uint64_t not_announced = std::numeric_limits<std::uint64_t>::max();
+        if (this->parser.content_length != not_announced)
+            this->head.body_length = this->parser.content_length;
     } else {
         this->head.status = static_cast<int>(this->parser.status_code);
         constexpr int informational = 100;
--- a/src/http_wire.h
+++ b/src/http_wire.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,8 @@
     int status = 0;     ///< of a response
     std::vector<header> headers;
     bool keep_alive = true; ///< the connection may carry further messages
+    /** Length of the body that the headers announce; std::nullopt if they announce none. */
+    std::optional<std::uint64_t> body_length;
 
     /** Value of the first header with this name in any case; nullptr if there is none. */
     [[nodiscard]] const std::string* find(std::string_view name) const;
@@ -39,6 +42,9 @@
 /** Whether a header is hop-by-hop, that is, applies to one connection and is never forwarded. */
 bool is_hop_by_hop_header(std::string_view name);
 
+/** Memory that a head takes, in bytes. */
+std::size_t size_in_memory(const http_head& head);
+
 /** Result of reading input. */
 enum class read_result : std::uint8_t { need_more, message_complete, malformed, head_too_large };
 
@@ -50,7 +56,8 @@
 
     http_reader(message_kind reader_side, std::size_t max_head_bytes);
 
-    /** Called with each complete head, except those of informational (1xx) responses. */
+    /** Called with each complete head, except those of informational (1xx) responses. May move from
+     * the head of a request. */
     std::function<void(http_head&)> on_head;
     /** Called with each piece of a body as it is read. */
     std::function<void(std::string_view)> on_body;
@@ -66,6 +73,10 @@
     [[nodiscard]] bool idle() const { return !this->started; }
     /** The current message's head was read in full. */
     [[nodiscard]] bool head_complete() const { return this->head_read; }
+    /** Memory that the head of the current message takes, in bytes. */
+    [[nodiscard]] std::size_t held_bytes() const { return size_in_memory(this->head); }
+    /** Drops the current message. Must not be called from `on_head` or `on_body`. */
+    void discard() { this->reset(); }
     /** Sets the maximum size of a head, and of all informational responses before one. */
     void set_max_head_bytes(std::size_t bytes) { this->max_head_bytes = bytes; }
 
--- a/src/live_request.h
+++ b/src/live_request.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "caller_account.h"
 #include "event_stream.h"
 #include "output_limits.h"
 #include "protocol.h"
@@ -20,7 +21,8 @@
 struct live_request {
     std::uint64_t id = 0;
     http_head head;
-    std::string body;
+    caller_body_ptr body; ///< nullptr once the request has ended
+    memory_charge charge; ///< of the metadata and of the response data that is held back
     request_metadata metadata;
     /** The configuration at admission. Keeps `matched_route` and `account_regions` valid. */
     router_config_ptr config;
--- a/src/output_limits.h
+++ b/src/output_limits.h
@@ -25,7 +25,7 @@
     std::size_t per_client = std::size_t{64} * 1024;
     /** The bound while many clients read slowly: one read of a server's connection. */
     std::size_t min_per_client = std::size_t{16} * 1024;
-    /** Bytes of all clients. The smallest VM has 160 MB, of which the process takes some tens. */
+    /** Bytes of all clients, see `caller_bounds`. */
     std::size_t total = std::size_t{32} * 1024 * 1024;
     /** A pause ends after this time if the client has read in the meantime, so that the server sees
      * progress before it gives up a client that reads slowly but steadily. */
--- a/src/process.cpp
+++ b/src/process.cpp
@@ -1,7 +1,9 @@
 #include "process.h"
 
+#include <algorithm>
 #include <random>
 
+#include <malloc.h>
 #include <sys/resource.h>
 
 namespace worksshift {
@@ -14,6 +16,26 @@
     setrlimit(RLIMIT_NOFILE, &limit);
 }
 
+void return_large_blocks()
+{
+    // Set explicitly, since the allocator raises its own threshold with each large block that is
+    // freed, and keeps later blocks of that size.
+    constexpr int threshold_bytes = 128 * 1024;
+    mallopt(M_MMAP_THRESHOLD, threshold_bytes);
+    mallopt(M_TRIM_THRESHOLD, threshold_bytes);
+}
+
+void heap_trimmer::update(std::size_t held, instant now)
+{
+    constexpr std::size_t min_fall_bytes = std::size_t{4} * 1024 * 1024;
+    constexpr duration min_period = seconds(1);
+    this->peak = std::max(this->peak, held);
+    if (this->peak - held < min_fall_bytes || now - this->trimmed_at < min_period) return;
+    malloc_trim(0);
+    this->peak = held;
+    this->trimmed_at = now;
+}
+
 std::uint64_t random_process_id()
 {
     std::random_device device;
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -121,6 +121,8 @@
     }
     request.head = std::move(incoming.head);
     request.body = std::move(incoming.body);
+    request.charge = memory_charge(this->callers.account(), memory_use::request);
+    update_charge(request);
     request.from_vm = incoming.from_vm;
     if (request.from_vm) this->accept_relayed(request);
     ++this->arrived;
@@ -133,6 +135,13 @@
     }
 }
 
+/** Counts what the request holds besides its head and body. */
+void request_path::update_charge(live_request& request)
+{
+    request.charge.set(request.metadata.prompt.capacity() * sizeof(prompt_part) +
+                       request.buffered_body.capacity());
+}
+
 void request_path::begin(live_request& request)
 {
     request.config = this->config;
@@ -190,8 +199,8 @@
     request.engine = traits != request.config->services.end() && traits->second.engine;
     request.affinity = affinity_of(request.metadata.prompt);
     request.parts = part_keys_of(request.service, request.metadata.prompt);
-    request.content =
-        content_of(request.matched_route->host, request.head.target, request.account, request.body);
+    request.content = content_of(request.matched_route->host, request.head.target, request.account,
+                                 request.body->bytes);
     duration span = request.matched_route->timeout;
     if (request.metadata.deadline) span = std::min<duration>(span, *request.metadata.deadline);
     request.deadline = request.arrived_at + span;
@@ -385,7 +394,8 @@
     outgoing.server = row.record.id;
     outgoing.address = row.record.address;
     outgoing.request_id = request.metadata.id;
-    outgoing.head = this->adapter.encode_request(request.head, metadata, request.body.size());
+    outgoing.head =
+        this->adapter.encode_request(request.head, metadata, request.body->bytes.size());
     outgoing.body = request.body;
     outgoing.no_response_body = request.head.method == "HEAD";
     outgoing.repeatable = request.matched_route->repeatable();
@@ -498,6 +508,7 @@
             return;
         }
         request.buffered_body.append(bytes);
+        update_charge(request);
         // Less is held back while many clients read slowly.
         const std::size_t limit =
             std::min(max_buffered_response_bytes, this->callers.client_bound());
@@ -506,7 +517,8 @@
         if (!begin_forwarding) return;
         request.response_begun = true;
         this->callers.begin_response(request.id, request.response_head, request.buffered_body);
-        request.buffered_body.clear();
+        request.buffered_body = {};
+        update_charge(request);
         return;
     }
     const std::string_view events = request.events.filter(bytes);
@@ -792,6 +804,7 @@
 {
     if (request.ended) return;
     request.ended = true;
+    request.body.reset();
     if (request.from_vm) --this->relayed_in_progress;
     const duration span = now() - request.arrived_at;
     const server_id none;
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -118,6 +118,7 @@
 
 private:
     void on_request(caller_request incoming);
+    static void update_charge(live_request& request);
     void begin(live_request& request);
     bool resolve_route(live_request& request);
     [[nodiscard]] bool refuse_late(live_request& request);
--- a/src/request_path_relay.cpp
+++ b/src/request_path_relay.cpp
@@ -123,7 +123,8 @@
     outgoing.server.text = to_text(vm);
     outgoing.address = {outgoing.server.text, this->relay_port};
     outgoing.request_id = request.metadata.id;
-    outgoing.head = this->adapter.encode_relayed_request(head, metadata, request.body.size());
+    outgoing.head =
+        this->adapter.encode_relayed_request(head, metadata, request.body->bytes.size());
     outgoing.body = request.body;
     outgoing.no_response_body = request.head.method == "HEAD";
     outgoing.repeatable = request.matched_route->repeatable();
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -91,6 +91,10 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     raise_file_limit();
+    this->callers.set_caller_bounds(bounds_of(this->options.machine));
+    this->callers.other_sockets = [this] {
+        return this->connection_pool.open_sockets() + this->vm_connections.open_sockets();
+    };
     this->path.set_retry_budget(this->options.retries);
     this->path.shutdown().set_grace(this->options.stop_grace);
     if (this->options.first_start) this->servers.fleet_is_new_until = now() + new_fleet_period;
@@ -126,8 +130,11 @@
     const instant time = now();
     this->client.sweep();
     this->callers.sweep(time);
-    this->connection_pool.sweep(time);
-    this->vm_connections.sweep(time);
+    for (server_connections* pool : {&this->connection_pool, &this->vm_connections}) {
+        pool->close_idle_beyond(this->callers.account().bounds().idle_server_connections);
+        pool->sweep(time);
+    }
+    this->heap.update(this->callers.account().held(), time);
     this->path.tick(time);
     this->follow_store(time);
     this->start_serving();
@@ -523,6 +530,21 @@
     text << "worksshift_requests_active " << this->path.active() << '\n';
     text << "worksshift_attempts_active " << this->connection_pool.active() << '\n';
     text << "worksshift_caller_connections " << this->callers.open_connections() << '\n';
+    for (const memory_use use : memory_uses) {
+        text << "worksshift_caller_memory_bytes{use=\"" << name_of(use) << "\"} "
+             << this->callers.account().held(use) << '\n';
+    }
+    text << "worksshift_caller_memory_bound_bytes " << this->callers.account().bounds().memory
+         << '\n';
+    text << "worksshift_caller_connections_bound " << this->callers.account().bounds().connections
+         << '\n';
+    for (const input_refusal reason : input_refusals) {
+        text << "worksshift_input_refused_total{reason=\"" << name_of(reason) << "\"} "
+             << this->callers.refused(reason) << '\n';
+    }
+    text << "worksshift_connections_closed_for_room_total " << this->callers.closed_for_room()
+         << '\n';
+    text << "worksshift_accepting_pauses_total " << this->callers.accepting_pauses() << '\n';
     text << "worksshift_output_buffered_bytes " << this->callers.buffered_output().bytes << '\n';
     text << "worksshift_responses_paused " << this->callers.paused_responses() << '\n';
     for (const slow_client_reason reason :
@@ -589,6 +611,7 @@
         this->gossip.add_seeds(reloaded.seeds);
         set_log_level(reloaded.level);
         this->path.set_retry_budget(reloaded.retries);
+        this->callers.set_caller_bounds(bounds_of(reloaded.machine));
         this->options.placement = reloaded.placement;
         this->options.cold_request_tolerance = reloaded.cold_request_tolerance;
         this->options.regions = reloaded.regions;
--- a/src/router.h
+++ b/src/router.h
@@ -16,6 +16,7 @@
 #include "evacuation_follower.h"
 #include "fleet_gossip.h"
 #include "metrics.h"
+#include "process.h"
 #include "registry_follower.h"
 #include "request_path.h"
 #include "router_settings.h"
@@ -103,6 +104,7 @@
     signal_handler on_hup;
 
     suspension_detector suspensions;
+    heap_trimmer heap;
     bool loads_changed = false; ///< a digest arrived since the peer loads were last summed
     instant loads_summed_at{};
     instant servers_assigned_at{};
--- a/src/router_settings.cpp
+++ b/src/router_settings.cpp
@@ -112,6 +112,11 @@
         "log lines per second at level info and below, 10 to 100000");
     add("stop-grace-s", text_with_default("8"),
         "seconds from SIGTERM until the process is killed, 1 to 3600");
+    add("memory-mb", text_with_default("160"),
+        "memory of the machine in MB, 32 to 1048576; callers may take the shares that "
+        "docs/design/caller-limits.md states");
+    add("max-descriptors", text_with_default("4096"),
+        "open descriptors that the process may have, 64 to 1048576");
     add("first-start", text_with_default("false"),
         "whether the whole fleet starts for the first time, so that no stream can have begun "
         "before: true or false");
@@ -211,6 +216,11 @@
 constexpr double max_cold_over = 100;
 constexpr double min_log_lines_per_s = 10;
 constexpr double max_log_lines_per_s = 100000;
+constexpr double min_memory_mb = 32;
+constexpr double max_memory_mb = 1048576;
+constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
+constexpr double min_descriptors = 64;
+constexpr double max_descriptors = 1048576;
 
 router_settings read_settings(const options::variables_map& values)
 {
@@ -237,6 +247,11 @@
     result.log_lines_per_s = static_cast<std::size_t>(
         reader.number("log-lines-per-s", min_log_lines_per_s, max_log_lines_per_s));
     result.stop_grace = to_duration(reader.number("stop-grace-s", 1, max_span_s));
+    result.machine = {
+        static_cast<std::size_t>(reader.number("memory-mb", min_memory_mb, max_memory_mb)) *
+            bytes_per_mb,
+        static_cast<std::size_t>(
+            reader.number("max-descriptors", min_descriptors, max_descriptors))};
     result.first_start = reader.flag("first-start");
     result.retries.ratio = reader.number("retry-ratio", 0, 1);
     result.retries.window = to_duration(reader.number("retry-window-s", 1, max_span_s));
--- a/src/router_settings.h
+++ b/src/router_settings.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "caller_account.h"
 #include "cold_servers.h"
 #include "errors.h"
 #include "fleet_retry_budget.h"
@@ -32,6 +33,7 @@
     std::vector<link_address> seeds; ///< VMs to contact first; their ports are not used
     log_level level = log_level::info;
     std::size_t log_lines_per_s = log_limits{}.lines_per_s;
+    machine_limits machine;
     duration stop_grace = seconds(8); ///< from SIGTERM until the process is killed
     /** The whole fleet starts for the first time; false at each later start. */
     bool first_start = false;
--- a/src/server_connections.cpp
+++ b/src/server_connections.cpp
@@ -18,6 +18,27 @@
     return std::chrono::steady_clock::now();
 }
 
+/** Bodies up to this size are copied, which costs less than a reference. */
+constexpr std::size_t max_copied_body_bytes = std::size_t{4} * 1024;
+
+/** Appends the body, which stays alive until it is sent or the buffer is freed. */
+void add_body(evbuffer* out, const caller_body_ptr& body)
+{
+    if (body == nullptr || body->bytes.empty()) return;
+    const std::string& bytes = body->bytes;
+    if (bytes.size() <= max_copied_body_bytes) {
+        evbuffer_add(out, bytes.data(), bytes.size());
+        return;
+    }
+    auto reference = std::make_unique<caller_body_ptr>(body);
+    const auto release = [](const void*, std::size_t, void* context) {
+        const std::unique_ptr<caller_body_ptr> owned(static_cast<caller_body_ptr*>(context));
+    };
+    const bool added =
+        evbuffer_add_reference(out, bytes.data(), bytes.size(), release, reference.get()) == 0;
+    if (added) static_cast<void>(reference.release());
+}
+
 } // namespace
 
 struct server_connections::connection_state
@@ -25,7 +46,13 @@
     explicit connection_state(server_connections* owner)
         : owner(owner), reader(http_reader::message_kind::responses, max_response_head_bytes)
     {
+        ++owner->sockets;
     }
+    ~connection_state() { --this->owner->sockets; }
+    connection_state(const connection_state&) = delete;
+    connection_state& operator=(const connection_state&) = delete;
+    connection_state(connection_state&&) = delete;
+    connection_state& operator=(connection_state&&) = delete;
 
     server_connections* owner;
     server_id server;
@@ -34,7 +61,8 @@
     std::uint64_t attempt = 0; ///< 0: idle, or used for a check
     std::optional<std::uint32_t> check;
     std::string request_id;
-    std::string unsent; ///< request to send once the connection is established
+    std::string unsent_head; ///< of the request to send once the connection is established
+    caller_body_ptr unsent_body;
     bool connected = false;
     bool skipping = false; ///< reading a late response to an earlier request, which is discarded
     bool close_after = false;
@@ -63,10 +91,10 @@
     this->attempts[request.attempt] = connection;
     if (request.no_response_body) connection->reader.expect_no_body();
     if (connection->connected) {
-        this->send(*connection, request);
+        send(*connection, request.head, request.body);
     } else {
-        connection->unsent = request.head;
-        connection->unsent.append(request.body);
+        connection->unsent_head = request.head;
+        connection->unsent_body = request.body;
     }
 }
 
@@ -154,11 +182,12 @@
     return connection;
 }
 
-void server_connections::send(connection_state& connection, const attempt_request& request)
+void server_connections::send(connection_state& connection, std::string_view head,
+                              const caller_body_ptr& body)
 {
     evbuffer* out = bufferevent_get_output(connection.socket.get());
-    evbuffer_add(out, request.head.data(), request.head.size());
-    evbuffer_add(out, request.body.data(), request.body.size());
+    evbuffer_add(out, head.data(), head.size());
+    add_body(out, body);
     flush_output(connection.socket.get());
 }
 
@@ -168,11 +197,9 @@
     if ((events & BEV_EVENT_CONNECTED) != 0) {
         connection->connected = true;
         this->on_connected.emit(connection->server);
-        if (!connection->unsent.empty()) {
-            evbuffer_add(bufferevent_get_output(connection->socket.get()),
-                         connection->unsent.data(), connection->unsent.size());
-            connection->unsent.clear();
-            flush_output(connection->socket.get());
+        if (!connection->unsent_head.empty()) {
+            send(*connection, std::exchange(connection->unsent_head, {}),
+                 std::exchange(connection->unsent_body, nullptr));
         }
         if (connection->check) {
             connection->since = now();
@@ -272,6 +299,7 @@
 {
     if (connection.is_closed) return;
     connection.is_closed = true;
+    connection.unsent_body.reset();
     bufferevent_disable(connection.socket.get(), EV_READ | EV_WRITE);
     // The socket is shut down at once, so that the server stops; the object is freed in the sweep.
     const evutil_socket_t socket = bufferevent_getfd(connection.socket.get());
@@ -335,6 +363,18 @@
     this->idle.erase(server);
 }
 
+void server_connections::close_idle_beyond(std::size_t count)
+{
+    std::vector<connection_ptr> all;
+    for (const auto& [server, pool] : this->idle)
+        std::ranges::copy(pool, std::back_inserter(all));
+    if (all.size() <= count) return;
+    std::ranges::sort(all, {}, [](const connection_ptr& item) { return item->since; });
+    all.resize(all.size() - count);
+    for (const connection_ptr& connection : all)
+        this->drop(*connection);
+}
+
 void server_connections::close_all_idle()
 {
     std::vector<server_id> servers(this->idle.size());
--- a/src/server_connections.h
+++ b/src/server_connections.h
@@ -14,6 +14,7 @@
 
 #include <sigc++/sigc++.h>
 
+#include "caller_account.h"
 #include "http_wire.h"
 #include "protocol.h"
 
@@ -52,7 +53,7 @@
     link_address address;
     std::string request_id; ///< echoed by the server in its response
     std::string head;
-    std::string_view body;         ///< not owned; must stay valid until the attempt is over
+    caller_body_ptr body;          ///< sent without a copy if it is large
     bool no_response_body = false; ///< the response has no body, as after HEAD
     bool repeatable = false;       ///< the request may be executed more than once
 };
@@ -101,11 +102,15 @@
     void sweep(instant now);
     /** Closes the idle connections to a server that is leaving, restarted or gone. */
     void close_idle(const server_id& server);
+    /** Closes those idle for longest while more than \p count are idle. */
+    void close_idle_beyond(std::size_t count);
     /** Closes all idle connections. Used after a suspension of the VM, when their idle time is
      * unknown. */
     void close_all_idle();
 
     [[nodiscard]] std::size_t active() const { return this->attempts.size(); }
+    /** Number of open sockets: in use, idle, or closed since the last sweep. */
+    [[nodiscard]] std::size_t open_sockets() const { return this->sockets; }
     [[nodiscard]] std::uint64_t opened() const { return this->connections_opened; }
 
     /** Signals of an attempt, by its number: the response's head, pieces of its body, its end. */
@@ -124,7 +129,8 @@
     connection_ptr take_idle(const attempt_request& request);
     connection_ptr connect(const server_id& server, const link_address& address);
     void end_check(connection_state& connection, check_result result);
-    void send(connection_state& connection, const attempt_request& request);
+    static void send(connection_state& connection, std::string_view head,
+                     const caller_body_ptr& body);
     void handle_head(connection_state& connection, const http_head& head);
     void read(const connection_ptr& connection);
     void handle_event(const connection_ptr& connection, short events);
@@ -140,6 +146,7 @@
     std::unordered_map<server_id, std::vector<connection_ptr>> idle;
     std::vector<connection_ptr> closed; ///< freed in the next sweep, never in their own callbacks
     std::uint64_t connections_opened = 0;
+    std::size_t sockets = 0;
 };
 
 } // namespace worksshift
