The router's other ports bound connections, heads and bodies

What was seen: a body without end at the port for metrics, readiness checks or other VMs made the process hold it whole: 293 MB for 8 clients that sent 32 MB each.

Cause: their evhttp servers set no limit of size, of connections or of time.

Change: http_listener sets the limits of each message and of the connections, counts what arrives in the account of the callers, and closes connections that began first or stalled when there is no room. Why it works: requests at these ports have no bodies, so 4 KB of body and 16 KB of head are above all that VMs, the platform and operators send, and their number is bounded by the descriptors kept for them.

--- /dev/null
+++ b/src/http_listener.h
@@ -0,0 +1,72 @@
+/** \file
+ * An evhttp server whose connections, heads and bodies are bounded, by number and by the account of
+ * what callers hold. evhttp itself bounds each message, but neither their sum nor the connections.
+ */
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "caller_account.h"
+#include "event_loop.h"
+#include "link_address.h"
+
+namespace worksshift {
+
+/** Limits of one port. */
+struct http_bounds {
+    std::size_t head_bytes = std::size_t{16} * 1024;
+    std::size_t body_bytes = std::size_t{4} * 1024;
+    std::size_t connections = 64; ///< the one that began its request first is closed beyond that
+    duration idle_timeout = seconds(60);
+    /** Sent as it is before the connection of a request that found no room is closed; empty: none.
+     */
+    std::string no_room_response;
+};
+
+class http_listener {
+public:
+    /** \p purpose: of the port, for logs and errors. The account must live longer.
+     * \throws user_error if the address cannot be bound. */
+    http_listener(event_base* base, const link_address& at, std::string purpose,
+                  const http_bounds& bounds, caller_account& account);
+    ~http_listener();
+    http_listener(const http_listener&) = delete;
+    http_listener& operator=(const http_listener&) = delete;
+    http_listener(http_listener&&) = delete;
+    http_listener& operator=(http_listener&&) = delete;
+
+    [[nodiscard]] evhttp* server() const { return this->http.get(); }
+    /** A request was received in full. From now on whoever answers it counts what it holds, and its
+     * connection is not closed to make room. */
+    void on_received(evhttp_request* request);
+    /** Frees closed connections. To be called regularly. */
+    void sweep();
+    /** Stops accepting connections. */
+    void close();
+
+    [[nodiscard]] std::size_t connections() const { return this->entries.size(); }
+    /** Connections that were closed to make room. */
+    [[nodiscard]] std::uint64_t closed_for_room() const { return this->room_closed; }
+
+private:
+    struct connection_state;
+
+    bufferevent* accept();
+    void handle_input(connection_state& connection, std::size_t bytes);
+    void make_room(instant now);
+    void close_for_room(connection_state& connection, std::string_view reason);
+
+    event_base* base;
+    std::string purpose;
+    http_bounds bounds;
+    caller_account& account;
+    event_ptr<evhttp> http;
+    evhttp_bound_socket* socket = nullptr; ///< owned by `http`
+    std::vector<std::unique_ptr<connection_state>> entries;
+    std::uint64_t room_closed = 0;
+};
+
+} // namespace worksshift
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -63,16 +63,6 @@
     evhttp_send_reply(request, status, nullptr, nullptr);
 }
 
-event_ptr<evhttp> listen_http(event_base* base, const link_address& at, const char* step)
-{
-    event_ptr<evhttp> server(evhttp_new(base));
-    if (evhttp_bind_socket(server.get(), at.address.c_str(), at.port) != 0) {
-        throw user_error("listen", at.address + ":" + std::to_string(at.port),
-                         std::string("the listen address for ") + step + " cannot be bound");
-    }
-    return server;
-}
-
 } // namespace
 
 router::router(router_settings settings, const protocol& adapter, settings_source reload)
@@ -134,6 +124,9 @@
         pool->close_idle_beyond(this->callers.account().bounds().idle_server_connections);
         pool->sweep(time);
     }
+    for (std::optional<http_listener>* listener :
+         {&this->peer_http, &this->readiness_http, &this->metrics_http})
+        (*listener)->sweep();
     this->heap.update(this->callers.account().held(), time);
     this->path.tick(time);
     this->follow_store(time);
@@ -461,17 +454,28 @@
     return state;
 }
 
+/** Serves a port on which requests have no bodies. \p part: the port has this part of the
+ * connections that are kept for others than callers. */
+void router::listen_http(std::optional<http_listener>& listener, const link_address& at,
+                         const char* purpose, std::size_t part)
+{
+    caller_account& account = this->callers.account();
+    http_bounds bounds;
+    bounds.connections = account.bounds().internal_connections / part;
+    listener.emplace(this->base.get(), at, purpose, bounds, account);
+}
+
 void router::serve_peers()
 {
-    this->peer_http = listen_http(this->base.get(), this->options.peer, "other VMs");
+    this->listen_http(this->peer_http, this->options.peer, "other VMs", 2);
     evhttp_set_cb(
-        this->peer_http.get(), config_path,
+        this->peer_http->server(), config_path,
         [](evhttp_request* request, void* self) {
             static_cast<router*>(self)->configuration.serve(request);
         },
         this);
     evhttp_set_cb(
-        this->peer_http.get(), registry_path,
+        this->peer_http->server(), registry_path,
         [](evhttp_request* request, void* self) {
             static_cast<router*>(self)->registry.serve(request);
         },
@@ -480,10 +484,9 @@
 
 void router::serve_readiness()
 {
-    this->readiness_http =
-        listen_http(this->base.get(), this->options.readiness, "readiness checks");
+    this->listen_http(this->readiness_http, this->options.readiness, "readiness checks", 4);
     evhttp_set_gencb(
-        this->readiness_http.get(),
+        this->readiness_http->server(),
         [](evhttp_request* request, void* context) {
             const auto* self = static_cast<router*>(context);
             const bool is_check = self->adapter.is_readiness_check(evhttp_request_get_uri(request));
@@ -494,15 +497,15 @@
 
 void router::serve_metrics()
 {
-    this->metrics_http = listen_http(this->base.get(), this->options.metrics, "metrics");
+    this->listen_http(this->metrics_http, this->options.metrics, "metrics", 4);
     evhttp_set_cb(
-        this->metrics_http.get(), "/metrics",
+        this->metrics_http->server(), "/metrics",
         [](evhttp_request* request, void* self) {
             reply(request, ok, static_cast<router*>(self)->metrics_text());
         },
         this);
     evhttp_set_cb(
-        this->metrics_http.get(), status_path,
+        this->metrics_http->server(), status_path,
         [](evhttp_request* request, void* self) {
             reply(request, ok, static_cast<router*>(self)->status_text());
         },
@@ -544,6 +547,10 @@
     }
     text << "worksshift_connections_closed_for_room_total " << this->callers.closed_for_room()
          << '\n';
+    text << "worksshift_internal_connections_closed_total "
+         << this->peer_http->closed_for_room() + this->readiness_http->closed_for_room() +
+                this->metrics_http->closed_for_room()
+         << '\n';
     text << "worksshift_accepting_pauses_total " << this->callers.accepting_pauses() << '\n';
     text << "worksshift_output_buffered_bytes " << this->callers.buffered_output().bytes << '\n';
     text << "worksshift_responses_paused " << this->callers.paused_responses() << '\n';
--- a/src/router.h
+++ b/src/router.h
@@ -15,6 +15,7 @@
 #include "datagram_socket.h"
 #include "evacuation_follower.h"
 #include "fleet_gossip.h"
+#include "http_listener.h"
 #include "metrics.h"
 #include "process.h"
 #include "registry_follower.h"
@@ -63,6 +64,8 @@
     bool check_store_path(bool needed, instant now);
     double fleet_demand_ratio(std::size_t alive, instant now);
     local_state build_local_state(instant now);
+    void listen_http(std::optional<http_listener>& listener, const link_address& at,
+                     const char* purpose, std::size_t part);
     void serve_peers();
     void serve_readiness();
     void serve_metrics();
@@ -95,9 +98,9 @@
     config_follower configuration;
     registry_follower registry;
     evacuation_follower evacuations;
-    event_ptr<evhttp> peer_http;
-    event_ptr<evhttp> readiness_http;
-    event_ptr<evhttp> metrics_http;
+    std::optional<http_listener> peer_http;
+    std::optional<http_listener> readiness_http;
+    std::optional<http_listener> metrics_http;
     timer ticker;
     signal_handler on_term;
     signal_handler on_int;
