worksshiftd bounds what callers and clients without a token can make it hold

What was seen: 120 clients that stopped a byte short of a body of 1 MiB held 136 MB, at the callers' port and, without any token, at the operators'; whole bodies held 519 MB, as evhttp kept each until its response was complete beside the parsed copy.

Cause: both ports bounded a message, and nothing bounded their sum.

Change: both listen through http_listener; a request in progress is counted as three times its body until it ends, is refused with 503 and the outcome not_run if there is no room, and evhttp's copy is freed at once. Settings memory-mb and max-descriptors, metrics, log lines. Why it works: what evhttp holds of a message that is not complete is at most what arrived on its connection, which is counted.

--- a/apps/worksshiftd.cpp
+++ b/apps/worksshiftd.cpp
@@ -7,11 +7,13 @@
 #include <iostream>
 
 #include "daemon.h"
+#include "process.h"
 
 int main(int count, char** arguments)
 {
     constexpr int exit_bad_settings = 2;
     constexpr int exit_internal = 3;
+    worksshift::return_large_blocks();
     try {
         const worksshift::settings options = worksshift::parse_settings(count, arguments);
         if (options.help) {
--- a/src/admin_api.cpp
+++ b/src/admin_api.cpp
@@ -16,7 +16,10 @@
 
 using nlohmann::json;
 
-constexpr ev_ssize_t max_body_bytes = ev_ssize_t{16} * 1024 * 1024;
+constexpr std::size_t max_body_bytes = std::size_t{16} * 1024 * 1024;
+constexpr std::string_view no_room_response =
+    "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
 constexpr std::size_t max_history_entries = 20;
 constexpr const char* plan_prefix = "/admin/plans/";
 constexpr const char* confirm_suffix = "/confirm";
@@ -42,6 +45,16 @@
     return {{"error", {{"code", code}, {"message", why}, {"step", step}}}};
 }
 
+http_bounds bounds_for_operators(const settings& options, const caller_account& account)
+{
+    http_bounds bounds;
+    bounds.body_bytes = max_body_bytes;
+    bounds.connections = account.bounds().internal_connections / 2;
+    bounds.idle_timeout = seconds(options.idle_timeout_s);
+    bounds.no_room_response = no_room_response;
+    return bounds;
+}
+
 std::string make_id()
 {
     std::random_device device;
@@ -121,8 +134,9 @@
 };
 
 admin_api::admin_api(event_base* base, const settings& options, node& core,
-                     platform_client& platform, config_writer& writer)
-    : options(options), core(core), platform(platform), writer(writer), server(evhttp_new(base))
+                     platform_client& platform, config_writer& writer, caller_account& account)
+    : options(options), core(core), platform(platform), writer(writer),
+      listener(base, options.admin, "operators", bounds_for_operators(options, account), account)
 {
     for (const std::string& entry : options.admin_tokens) {
         const std::size_t first = entry.find(':');
@@ -131,17 +145,10 @@
         this->tokens.push_back({entry.substr(0, first), operating ? role::operating : role::viewer,
                                 entry.substr(second + 1)});
     }
-    evhttp_set_max_body_size(this->server.get(), max_body_bytes);
-    evhttp_set_timeout(this->server.get(), static_cast<int>(options.idle_timeout_s));
     const auto handle = [](evhttp_request* request, void* self) {
         static_cast<admin_api*>(self)->handle_request(request);
     };
-    evhttp_set_gencb(this->server.get(), handle, this);
-    if (evhttp_bind_socket(this->server.get(), options.admin.address.c_str(), options.admin.port) !=
-        0) {
-        throw user_error("listen", options.admin.address + ":" + std::to_string(options.admin.port),
-                         "the admin port cannot be opened");
-    }
+    evhttp_set_gencb(this->listener.server(), handle, this);
 }
 
 admin_api::~admin_api() = default;
@@ -162,6 +169,7 @@
 
 void admin_api::handle_request(evhttp_request* request)
 {
+    this->listener.on_received(request);
     const std::string path = evhttp_request_get_uri(request);
     const bool post = evhttp_request_get_command(request) == EVHTTP_REQ_POST;
     const operator_token* token = this->authenticate(request);
--- a/src/admin_api.h
+++ b/src/admin_api.h
@@ -11,6 +11,7 @@
 
 #include "config_writer.h"
 #include "event_loop.h"
+#include "http_listener.h"
 #include "node.h"
 #include "settings.h"
 
@@ -18,14 +19,20 @@
 
 class admin_api {
 public:
+    /** The account must live longer. */
     admin_api(event_base* base, const settings& options, node& core, platform_client& platform,
-              config_writer& writer);
+              config_writer& writer, caller_account& account);
     ~admin_api();
     admin_api(const admin_api&) = delete;
     admin_api& operator=(const admin_api&) = delete;
     admin_api(admin_api&&) = delete;
     admin_api& operator=(admin_api&&) = delete;
 
+    /** Frees closed connections. To be called regularly. */
+    void sweep() { this->listener.sweep(); }
+    /** Connections that were closed to make room. */
+    [[nodiscard]] std::uint64_t closed_for_room() const { return this->listener.closed_for_room(); }
+
 private:
     enum class role : std::uint8_t { none, viewer, operating };
     struct operator_token {
@@ -65,7 +72,7 @@
     platform_client& platform;
     config_writer& writer;
     std::vector<operator_token> tokens;
-    event_ptr<evhttp> server;
+    http_listener listener;
 };
 
 } // namespace worksshift
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -10,6 +10,7 @@
 #include "http_frontend.h"
 #include "link_hub.h"
 #include "node.h"
+#include "process.h"
 #include "server_calls.h"
 #include "settings.h"
 
@@ -72,6 +73,8 @@
     node core;
     link_hub links;
     gossip_socket gossip;
+    caller_account account; ///< of what callers and operators hold
+    heap_trimmer heap;
     http_frontend front;
     server_calls calls;
     http_client http;
--- a/src/http_frontend.cpp
+++ b/src/http_frontend.cpp
@@ -14,7 +14,14 @@
 
 namespace {
 
-constexpr ev_ssize_t max_request_header_bytes = ev_ssize_t{64} * 1024;
+constexpr std::size_t max_request_header_bytes = std::size_t{64} * 1024;
+/** Copies of a request's body: parsed, for its attempts, and on its way to a server. */
+constexpr std::size_t body_copies = 3;
+constexpr std::uint32_t no_room_retry_after_ms = 500;
+/** The same as `send_error` sends for lack of memory. */
+constexpr std::string_view no_room_response =
+    "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nX-Worksshift-Outcome: not_run\r\n"
+    "Retry-After: 1\r\nRetry-After-Ms: 500\r\nContent-Length: 0\r\n\r\n";
 constexpr int milliseconds_per_second = 1000;
 
 const char* method_name(evhttp_cmd_type method)
@@ -79,6 +86,19 @@
               body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n");
 }
 
+http_bounds bounds_for_callers(const settings& options, const caller_account& account)
+{
+    http_bounds bounds;
+    bounds.head_bytes = max_request_header_bytes;
+    // evhttp's own error lacks the headers of send_error, so its limit is above the one that
+    // handle_http_request checks.
+    bounds.body_bytes = std::size_t{2} * options.max_request_body_bytes;
+    bounds.connections = account.bounds().connections;
+    bounds.idle_timeout = seconds(options.idle_timeout_s);
+    bounds.no_room_response = no_room_response;
+    return bounds;
+}
+
 void send_bad_request(evhttp_request* request, const bad_request& rejected)
 {
     fail_request failure;
@@ -105,31 +125,22 @@
     client_account_id account;
     instant started{};
     instant last_chunk_at{};
+    memory_charge charge;
     metrics::series* between_pieces = nullptr; ///< cached, since each token is recorded
 };
 
-http_frontend::http_frontend(event_base* base, const settings& options, metrics& telemetry)
-    : base(base), options(options), telemetry(telemetry), server(evhttp_new(base))
+http_frontend::http_frontend(event_base* base, const settings& options, metrics& telemetry,
+                             caller_account& account)
+    : base(base), options(options), telemetry(telemetry), account(account),
+      listener(base, options.front, "callers", bounds_for_callers(options, account), account)
 {
-    evhttp_set_max_headers_size(this->server.get(), max_request_header_bytes);
-    // evhttp's own error lacks the headers of send_error, so its limit is above the one that
-    // handle_http_request checks.
-    evhttp_set_max_body_size(this->server.get(),
-                             2 * static_cast<ev_ssize_t>(options.max_request_body_bytes));
-    evhttp_set_timeout(this->server.get(), static_cast<int>(options.idle_timeout_s));
-    evhttp_set_allowed_methods(this->server.get(), EVHTTP_REQ_GET | EVHTTP_REQ_HEAD |
-                                                       EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
-                                                       EVHTTP_REQ_POST | EVHTTP_REQ_PATCH);
+    evhttp_set_allowed_methods(this->listener.server(), EVHTTP_REQ_GET | EVHTTP_REQ_HEAD |
+                                                            EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
+                                                            EVHTTP_REQ_POST | EVHTTP_REQ_PATCH);
     const auto handle = [](evhttp_request* request, void* self) {
         static_cast<http_frontend*>(self)->handle_http_request(request);
     };
-    evhttp_set_gencb(this->server.get(), handle, this);
-    this->socket = evhttp_bind_socket_with_handle(this->server.get(), options.front.address.c_str(),
-                                                  options.front.port);
-    if (this->socket == nullptr) {
-        throw user_error("listen", options.front.address + ":" + std::to_string(options.front.port),
-                         "the front port cannot be opened");
-    }
+    evhttp_set_gencb(this->listener.server(), handle, this);
     std::random_device device;
     this->id_prefix = options.vm.text + "-" + std::to_string(device()) + "-";
 }
@@ -140,13 +151,6 @@
         this->detach(*pending);
 }
 
-void http_frontend::close()
-{
-    if (this->socket == nullptr) return;
-    evhttp_del_accept_socket(this->server.get(), this->socket);
-    this->socket = nullptr;
-}
-
 http_frontend::pending_request* http_frontend::find(std::uint64_t id)
 {
     const auto found = this->pending_requests.find(id);
@@ -155,6 +159,7 @@
 
 void http_frontend::handle_http_request(evhttp_request* request)
 {
+    this->listener.on_received(request);
     raw_request raw;
     raw.method = method_name(evhttp_request_get_command(request));
     raw.path = evhttp_request_get_uri(request);
@@ -183,11 +188,30 @@
     } else if (raw.path == "/v1/models") {
         this->send_models(request, raw);
     } else {
-        raw.body = read_all(evhttp_request_get_input_buffer(request));
         this->handle_api_request(request, raw);
     }
 }
 
+void http_frontend::refuse_for_room(evhttp_request* request, std::size_t body_bytes)
+{
+    this->telemetry.count("worksshift_input_refused_total{reason=\"no_memory\"}");
+    log_event(log_level::info, "request_refused",
+              {{"step", "read"},
+               {"reason", "no_memory"},
+               {"received", body_bytes},
+               {"held", this->account.held()},
+               {"bound", this->account.bounds().memory}});
+    fail_request failure;
+    failure.status = 503;
+    failure.result = outcome::not_run;
+    failure.code = "no_memory";
+    failure.message = "this VM has no memory for the request";
+    failure.step = "read";
+    failure.peer = "caller";
+    failure.retry_after_ms = no_room_retry_after_ms;
+    send_error(request, failure);
+}
+
 /** Lets the response's connection close after it if this VM is leaving. */
 void http_frontend::announce_close(evhttp_request* request) const
 {
@@ -211,9 +235,19 @@
     send_text(request, 200, "application/json", body.dump() + "\n");
 }
 
-void http_frontend::handle_api_request(evhttp_request* request, const raw_request& raw)
+void http_frontend::handle_api_request(evhttp_request* request, raw_request& raw)
 {
     const instant now = std::chrono::steady_clock::now();
+    evbuffer* input = evhttp_request_get_input_buffer(request);
+    const std::size_t size = evbuffer_get_length(input);
+    const std::size_t needed = request_bytes + body_copies * size;
+    if (!this->account.has_room(needed, size >= large_body_bytes)) {
+        this->refuse_for_room(request, size);
+        return;
+    }
+    raw.body = read_all(input);
+    // evhttp would keep it until the response is complete.
+    evbuffer_drain(input, size);
     auto parsed = parse_request(raw, *this->config, now, this->options.default_deadline_ms);
     if (const auto* rejected = std::get_if<bad_request>(&parsed)) {
         this->telemetry.count("worksshift_bad_requests_total");
@@ -231,6 +265,8 @@
     pending->service = accepted.row.service;
     pending->account = accepted.row.account;
     pending->started = now;
+    pending->charge = memory_charge(this->account, memory_use::request);
+    pending->charge.set(needed);
     pending->between_pieces = &this->telemetry.find_or_create(latency::between_pieces,
                                                               pending->service, pending->account);
     this->pending_requests[pending->id] = std::move(owned);
@@ -332,6 +368,7 @@
     this->detach(*pending);
     if (pending->head_sent) {
         evhttp_connection_free(pending->connection);
+        this->listener.sweep();
     } else {
         this->announce_close(pending->request);
         send_error(pending->request, failure);
@@ -375,6 +412,7 @@
     this->pending_requests.erase(id);
     this->telemetry.count("worksshift_callers_gone_total");
     evhttp_connection_free(connection);
+    this->listener.sweep();
     this->on_disconnect.emit(id);
 }
 
--- a/src/http_frontend.h
+++ b/src/http_frontend.h
@@ -15,6 +15,7 @@
 #include <sigc++/sigc++.h>
 
 #include "event_loop.h"
+#include "http_listener.h"
 #include "metrics.h"
 #include "parse_request.h"
 #include "settings.h"
@@ -29,7 +30,9 @@
 
 class http_frontend {
 public:
-    http_frontend(event_base* base, const settings& options, metrics& telemetry);
+    /** The account must live longer. */
+    http_frontend(event_base* base, const settings& options, metrics& telemetry,
+                  caller_account& account);
     ~http_frontend();
     http_frontend(const http_frontend&) = delete;
     http_frontend& operator=(const http_frontend&) = delete;
@@ -44,7 +47,11 @@
      * on, each response whose head is still to be sent announces that its connection closes. */
     void set_leaving() { this->leaving = true; }
     /** Stops accepting connections. */
-    void close();
+    void close() { this->listener.close(); }
+    /** Frees closed connections. To be called regularly. */
+    void sweep() { this->listener.sweep(); }
+    /** Connections that were closed to make room. */
+    [[nodiscard]] std::uint64_t closed_for_room() const { return this->listener.closed_for_room(); }
 
     void send_head(std::uint64_t request, std::uint16_t status, std::span<const header> headers);
     void send_data(std::uint64_t request, std::string_view bytes);
@@ -67,7 +74,8 @@
     struct pending_request;
 
     void handle_http_request(evhttp_request* request);
-    void handle_api_request(evhttp_request* request, const raw_request& raw);
+    void handle_api_request(evhttp_request* request, raw_request& raw);
+    void refuse_for_room(evhttp_request* request, std::size_t body_bytes);
     void announce_close(evhttp_request* request) const;
     void send_models(evhttp_request* request, const raw_request& raw);
     pending_request* find(std::uint64_t id);
@@ -78,8 +86,8 @@
     event_base* base;
     const settings& options;
     metrics& telemetry;
-    event_ptr<evhttp> server;
-    evhttp_bound_socket* socket = nullptr; ///< owned by `server`
+    caller_account& account;
+    http_listener listener;
     std::shared_ptr<const fleet_config> config;
     bool leaving = false;
     std::uint64_t next_id = 1;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -36,6 +36,12 @@
      [](settings& s, std::uint32_t v) { s.max_request_body_bytes = v * 1024; }},
     {"idle-timeout-s", 1, 3600, 60, "seconds after which a caller's idle connection is closed",
      [](settings& s, std::uint32_t v) { s.idle_timeout_s = v; }},
+    {"memory-mb", 32, 1048576, 160,
+     "memory of the machine in MB; callers may take the shares that docs/design/caller-limits.md "
+     "states",
+     [](settings& s, std::uint32_t v) { s.memory_mb = v; }},
+    {"max-descriptors", 64, 1048576, 4096, "open descriptors that the process may have",
+     [](settings& s, std::uint32_t v) { s.max_descriptors = v; }},
     {"default-deadline-ms", 100, 3600000, 120000, "deadline of requests that state none, in ms",
      [](settings& s, std::uint32_t v) { s.default_deadline_ms = v; }},
     {"server-idle-ms", 100, 600000, 20000, "ms without a byte after which a server is unresponsive",
--- a/src/settings.h
+++ b/src/settings.h
@@ -31,7 +31,9 @@
     std::uint32_t stop_deadline_s = 120;
     std::uint32_t stop_linger_s = 5; ///< time for which a stopping VM accepts connections
     std::uint32_t max_request_body_bytes = 0;
-    std::uint32_t idle_timeout_s = 0; ///< of callers' connections
+    std::uint32_t idle_timeout_s = 0;  ///< of callers' connections
+    std::uint32_t memory_mb = 0;       ///< of the machine
+    std::uint32_t max_descriptors = 0; ///< that the process may have
     std::uint32_t default_deadline_ms = 0;
     std::uint32_t server_idle_ms = 0;        ///< silence after which a server is unresponsive
     std::uint32_t platform_calls_per_s = 0;  ///< of this VM, sustained
