Bodies that need not be sent again make room for large requests

What callers saw: while a crowd's complete bodies waited at a silent server, no large request was served for as long as the server kept them.

Cause: a request in progress kept its body to its end, although its route allowed no further run.

Change: if stalled requests do not make room, bodies that were sent in full in the last run that the route allows are freed, those sent first at the front. Should their server state that it did not run the request, the caller gets a 503 in place of another attempt, which is still true. Why it works: at most one more run of a request can be outstanding, and it has all its bytes.

--- a/src/caller_connections.cpp
+++ b/src/caller_connections.cpp
@@ -428,6 +428,8 @@
     if (this->held.has_room(bytes, large)) return true;
     if (time - this->partial_checked_at < partial_check_period) return false;
     this->refuse_partial(this->held.missing(bytes, large), true, asking, time);
+    if (const std::size_t missing = this->held.missing(bytes, large); missing > 0)
+        this->release_bodies(missing);
     if (this->held.has_room(bytes, large)) return true;
     this->partial_checked_at = time;
     return false;
--- a/src/caller_connections.h
+++ b/src/caller_connections.h
@@ -111,6 +111,9 @@
     void set_caller_bounds(const caller_bounds& bounds);
     /** Number of sockets of this process other than those of callers and listeners. */
     std::function<std::size_t()> other_sockets = [] { return std::size_t{0}; };
+    /** Frees bodies of requests in progress that need not be sent again, if possible so many that a
+     * large request finds room. */
+    std::function<void(std::size_t needed)> release_bodies = [](std::size_t) {};
     [[nodiscard]] std::uint64_t refused(input_refusal reason) const
     {
         return this->refusals[static_cast<std::size_t>(reason)];
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -138,7 +138,8 @@
 /** Counts what the request holds besides its head and body. */
 void request_path::update_charge(live_request& request)
 {
-    request.charge.set(request.metadata.prompt.capacity() * sizeof(prompt_part) +
+    request.charge.set((request.body_released ? request_bytes : 0) +
+                       request.metadata.prompt.capacity() * sizeof(prompt_part) +
                        request.buffered_body.capacity());
 }
 
@@ -278,6 +279,10 @@
 
 void request_path::dispatch(live_request& request)
 {
+    if (request.body_released) {
+        this->fail(request, "memory", "the request cannot be sent again");
+        return;
+    }
     if (this->is_blocked(request) || this->refuse_relayed(request) || this->relay(request)) return;
     if (request.engine && !std::exchange(request.demand_counted, true))
         this->admission_control.on_request(request.service, request.affinity, request.arrived_at);
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -172,6 +172,8 @@
     void on_slow_client(live_request& request, const client_output& output,
                         slow_client_reason reason);
     void take_body(live_request& request, std::string_view bytes);
+    void release_bodies(std::size_t needed);
+    [[nodiscard]] bool may_release_body(const live_request& request) const;
     [[nodiscard]] static bool may_be_forwarded(const live_request& request);
     void check_progress(live_request& request, instant now);
     void abandon_endless_attempt(live_request& request, std::string_view reason, instant now);
--- a/src/request_path_output.cpp
+++ b/src/request_path_output.cpp
@@ -31,6 +31,7 @@
     this->callers.on_output_full.connect([this](std::uint64_t id) {
         if (live_request* request = this->find_open(id)) this->pause_attempt(*request);
     });
+    this->callers.release_bodies = [this](std::size_t needed) { this->release_bodies(needed); };
     this->callers.on_output_drained.connect([this](std::uint64_t id) {
         if (live_request* request = this->find_open(id)) this->resume_attempt(*request);
     });
@@ -111,6 +112,46 @@
     this->end(request, "slow_client", 0);
 }
 
+/** Whether the request's body is only needed if its server states that it did not run it. */
+bool request_path::may_release_body(const live_request& request) const
+{
+    if (request.ended || request.body == nullptr || request.body->bytes.size() < large_body_bytes ||
+        request.matched_route == nullptr)
+        return false;
+    const bool last_run =
+        !request.matched_route->repeatable() || request.runs + 1 >= request.max_runs();
+    if (!last_run) return false;
+    if (request.row != nullptr) return this->servers.all_sent(request.attempt);
+    return request.relay_vm && this->relay_connections->all_sent(request.attempt);
+}
+
+/** Frees bodies for lack of memory, those sent first at the front. If the server of such a request
+ * states that it did not run it, the caller gets a 503 in place of another attempt. */
+void request_path::release_bodies(std::size_t needed)
+{
+    std::vector<live_request*> releasable;
+    for (const auto& [id, request] : this->requests) {
+        if (this->may_release_body(*request)) releasable.push_back(request.get());
+    }
+    std::ranges::sort(releasable, {}, &live_request::attempt_started_at);
+    std::size_t freed = 0;
+    for (live_request* request : releasable) {
+        if (freed >= needed) return;
+        const std::size_t size = request->body->bytes.size();
+        freed += size;
+        request->body.reset();
+        request->body_released = true;
+        update_charge(*request);
+        this->telemetry.count("worksshift_bodies_released_total");
+        log_event(log_level::info, "body_released",
+                  {{"request", request->metadata.id},
+                   {"bytes", size},
+                   {"held", this->callers.account().held()},
+                   {"server", last_server(*request)},
+                   {"sent_ms", (now() - request->attempt_started_at) / milliseconds(1)}});
+    }
+}
+
 /** Whether the bytes of a response that is not an event stream are passed on to the caller. One
  * without a length or a declared event stream is not expected on a streaming route; it may be the
  * output of a faulty server, which has no end. */
--- a/src/server_connections.cpp
+++ b/src/server_connections.cpp
@@ -319,6 +319,13 @@
     this->drop(*connection);
 }
 
+bool server_connections::all_sent(std::uint64_t attempt) const
+{
+    const auto found = this->attempts.find(attempt);
+    if (found == this->attempts.end() || !found->second->connected) return false;
+    return evbuffer_get_length(bufferevent_get_output(found->second->socket.get())) == 0;
+}
+
 void server_connections::pause_reading(std::uint64_t attempt)
 {
     const auto found = this->attempts.find(attempt);
--- a/src/server_connections.h
+++ b/src/server_connections.h
@@ -88,6 +88,8 @@
     void start_attempt(const attempt_request& request);
     /** Closes the attempt's connection, so that the server stops processing. Emits no signal. */
     void cancel(std::uint64_t attempt);
+    /** Whether the system has accepted all bytes of the attempt's request. */
+    [[nodiscard]] bool all_sent(std::uint64_t attempt) const;
     /** Stops reading the attempt's response until `resume_reading`. Bytes that were already read
      * are still reported. */
     void pause_reading(std::uint64_t attempt);
