Bodies in chunks are counted by what they take, and slow bodies give way when room is short

Cause: std::string::reserve doubles the capacity when it is told to grow by less, so a body in chunks took up to twice the bytes that were counted for it.

A body that gets 16 KiB each half second counted as progressing for a minute, so a few could keep large requests out. One that would take more than 10 s at its pace so far, or has taken 10 s, now counts as without progress since it began; it is refused only while others need its room.

--- a/src/caller_account.cpp
+++ b/src/caller_account.cpp
@@ -71,6 +71,15 @@
     this->at = now;
 }
 
+instant input_progress::unchanged_since(instant now) const
+{
+    const duration age = now - this->begun;
+    const double due =
+        static_cast<double>(this->announced) * (std::chrono::duration<double>(age) / receive_time);
+    const bool late = age > receive_time || static_cast<double>(this->received) < due;
+    return late ? this->begun : this->at;
+}
+
 std::size_t caller_account::missing(std::size_t bytes, bool large) const
 {
     const std::size_t bound = large ? this->limits.large_memory : this->limits.memory;
--- a/src/caller_account.h
+++ b/src/caller_account.h
@@ -55,6 +55,9 @@
  * in this time. */
 constexpr duration stalled_after = milliseconds(500);
 constexpr std::size_t progress_bytes = std::size_t{16} * 1024;
+/** Time in which a request should be received in full: 4 MiB at 3.4 Mbit/s. A slower one is refused
+ * only while others need its room. */
+constexpr duration receive_time = seconds(10);
 
 /** What memory is held for. */
 enum class memory_use : std::uint8_t {
@@ -75,12 +78,20 @@
 
 /** The progress of a request that is being received. */
 struct input_progress {
+    instant begun{};
+    std::size_t announced = 0; ///< length of the body; 0: not known
     std::size_t received = 0;
     std::size_t counted = 0; ///< bytes that had been received at `at`
-    instant at{};
+    instant at{};            ///< the last progress
 
-    void begin(instant now) { *this = {0, 0, now}; }
+    void begin(instant now, std::size_t announced_bytes = 0)
+    {
+        *this = {now, announced_bytes, 0, 0, now};
+    }
     void add(std::size_t bytes, instant now);
+    /** Since when the request has made no progress. One that takes longer than `receive_time`, or
+     * would at the pace so far, has made none since it began. */
+    [[nodiscard]] instant unchanged_since(instant now) const;
 };
 
 class caller_account {
@@ -139,8 +150,10 @@
 
 /** Body of a caller's request. All attempts and relays of the request share it. */
 struct caller_body {
-    std::string bytes;
-    memory_charge charge; ///< of the body, and of the request's head and state
+    std::vector<char> bytes; ///< a string would double its capacity when it is told to grow
+    memory_charge charge;    ///< of the body, and of the request's head and state
+
+    [[nodiscard]] std::string_view text() const { return {this->bytes.data(), this->bytes.size()}; }
 };
 using caller_body_ptr = std::shared_ptr<caller_body>;
 
--- a/src/caller_connections.cpp
+++ b/src/caller_connections.cpp
@@ -21,9 +21,8 @@
 /** How long input is still read and discarded after the last response on a connection, so that the
  * caller can read that response before the connection is closed. */
 constexpr duration linger_time = seconds(1);
-/** Timeout for receiving a complete body, counted from the end of the head. */
-constexpr duration body_timeout = seconds(10);
-/** The same for a body that still makes progress, as from a caller of a distant region. */
+/** Timeout for receiving a body that still makes progress, as from a caller of a distant region,
+ * counted from the end of the head. Others are refused after `receive_time`. */
 constexpr duration max_body_time = seconds(60);
 /** A connection is closed when sent bytes stay unacknowledged for this long: the caller is
  * unreachable, and its response would stay buffered. Longer than callers wait for most responses,
@@ -308,6 +307,7 @@
     connection->owner = this;
     connection->from_vm = from_vm;
     connection->since = now();
+    connection->progress.begin(connection->since);
     connection->charge = memory_charge(this->held, memory_use::connection);
     connection->charge.set(connection_bytes);
     set_no_delay(socket);
@@ -359,9 +359,9 @@
 void caller_connections::handle_head(connection_state& connection, http_head& head)
 {
     connection.since = this->read_at;
-    connection.progress.begin(this->read_at);
     connection.head = std::move(head);
     const std::uint64_t length = connection.head.body_length.value_or(0);
+    connection.progress.begin(this->read_at, length);
     if (length > this->limits.max_body_bytes) {
         this->refuse(connection, input_refusal::body_too_large, "body too large");
         return;
@@ -399,7 +399,8 @@
         return;
     }
     connection.progress.add(bytes.size(), this->read_at);
-    connection.body->bytes.append(bytes);
+    std::vector<char>& body = connection.body->bytes;
+    body.insert(body.end(), bytes.begin(), bytes.end());
 }
 
 /** Makes room for \p size bytes of a body whose length was not announced. */
@@ -444,7 +445,7 @@
     for (const auto& [id, connection] : this->connections) {
         if (!connection->is_receiving() || connection.get() == asking) continue;
         receiving.push_back(connection.get());
-        partial.push_back({connection->held_input(), connection->progress.at});
+        partial.push_back({connection->held_input(), connection->progress.unchanged_since(time)});
     }
     for (const std::size_t index :
          caller_account::choose_to_refuse(partial, needed, only_stalled, time)) {
@@ -771,8 +772,8 @@
         if (connection.reader.idle()) {
             if (age > this->limits.idle_timeout) this->drop(connection);
         } else if (connection.reader.head_complete()) {
-            const bool moving = time - connection.progress.at < stalled_after;
-            if (age <= (moving ? max_body_time : body_timeout)) return;
+            const bool progressing = time - connection.progress.at < stalled_after;
+            if (age <= (progressing ? max_body_time : receive_time)) return;
             this->refuse(connection, input_refusal::too_slow, "body too slow");
             free_input(connection);
         } else if (age > this->limits.header_timeout) {
--- a/src/http_listener.cpp
+++ b/src/http_listener.cpp
@@ -153,10 +153,11 @@
     for (const bool only_stalled : {true, false}) {
         if (!this->account.exceeded()) return;
         std::vector<partial_request> partial;
-        std::ranges::transform(open, std::back_inserter(partial), [](const connection_state* item) {
-            return partial_request{item->receiving && !item->closing ? item->charge.size() : 0,
-                                   item->progress.at};
-        });
+        std::ranges::transform(
+            open, std::back_inserter(partial), [time](const connection_state* item) {
+                return partial_request{item->receiving && !item->closing ? item->charge.size() : 0,
+                                       item->progress.unchanged_since(time)};
+            });
         for (const std::size_t index : caller_account::choose_to_refuse(
                  partial, this->account.missing(0, false), only_stalled, time))
             this->close_for_room(*open[index], "memory");
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -201,7 +201,7 @@
     request.affinity = affinity_of(request.metadata.prompt);
     request.parts = part_keys_of(request.service, request.metadata.prompt);
     request.content = content_of(request.matched_route->host, request.head.target, request.account,
-                                 request.body->bytes);
+                                 request.body->text());
     duration span = request.matched_route->timeout;
     if (request.metadata.deadline) span = std::min<duration>(span, *request.metadata.deadline);
     request.deadline = request.arrived_at + span;
--- a/src/server_connections.cpp
+++ b/src/server_connections.cpp
@@ -25,7 +25,7 @@
 void add_body(evbuffer* out, const caller_body_ptr& body)
 {
     if (body == nullptr || body->bytes.empty()) return;
-    const std::string& bytes = body->bytes;
+    const std::string_view bytes = body->text();
     if (bytes.size() <= max_copied_body_bytes) {
         evbuffer_add(out, bytes.data(), bytes.size());
         return;
--- a/test/error/caller_account_decides.cpp
+++ b/test/error/caller_account_decides.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(charges_count_what_is_held);
     CPPUNIT_TEST(stalled_requests_are_refused_by_size_and_time);
     CPPUNIT_TEST(a_trickle_is_no_progress);
+    CPPUNIT_TEST(a_body_behind_its_time_is_no_progress);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -111,6 +112,33 @@
         }
         CPPUNIT_ASSERT(now - trickle.at > stalled_after);
     }
+
+    /** Such a body would hold its room for two minutes. */
+    void a_body_behind_its_time_is_no_progress()
+    {
+        constexpr std::size_t announced = 4 * mib;
+        constexpr std::size_t quick_bytes = 125 * kib; // each 100 ms, 10 Mbit/s
+        input_progress quick;
+        input_progress slow;
+        quick.begin(start, announced);
+        slow.begin(start, announced);
+        instant now = start;
+        for (int step = 0; step < 20; ++step) {
+            now += milliseconds(100);
+            quick.add(quick_bytes, now);
+            slow.add(progress_bytes, now);
+        }
+        CPPUNIT_ASSERT(now == quick.unchanged_since(now));
+        CPPUNIT_ASSERT(start == slow.unchanged_since(now));
+        // Without an announced length only the time tells.
+        input_progress chunked;
+        chunked.begin(start);
+        chunked.add(progress_bytes, now);
+        CPPUNIT_ASSERT(now == chunked.unchanged_since(now));
+        now = start + receive_time + milliseconds(1);
+        chunked.add(progress_bytes, now);
+        CPPUNIT_ASSERT(start == chunked.unchanged_since(now));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(caller_account_decides);
