--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -13,6 +13,7 @@
 
 #include "guarantee_checker.h"
 #include "soak_server.h"
+#include "support/crowd.h"
 #include "support/loopback_proxy.h"
 #include "support/router_fleet.h"
 
@@ -75,6 +76,9 @@
     void inject_router_fault(std::size_t router);
     void inject_store_fault(std::size_t router);
     void inject_server_link_fault();
+    void update_crowd();
+    [[nodiscard]] support::crowd_script draw_crowd();
+    void check_memory(std::size_t router);
     void remove_random_server();
     void change_config();
     void check_recovery();
@@ -90,12 +94,19 @@
     static fault_kind fault_kind_of(std::uint64_t seed);
     fault_kind faults;
     worksshift::duration span;
+    /** Memory of the routers' machines, so that a small crowd fills what callers may hold. */
+    support::environment_variable memory;
     support::router_fleet fleet;
     guarantee_checker guarantees;
     std::vector<std::unique_ptr<loopback_proxy>> store_proxies; ///< one for each router
     std::vector<proxied_server> servers;
     std::vector<std::string> active_servers; ///< ids of the servers that accept new requests
     std::vector<caller> callers;
+    bool has_crowds; ///< clients come that do not end their requests
+    std::mt19937_64 crowd_random;
+    std::unique_ptr<support::crowd> crowd; ///< nullptr: none at present
+    std::size_t crowd_router = 0;
+    worksshift::instant crowd_changes_at{}; ///< when the crowd leaves or the next one comes
     std::map<std::size_t, worksshift::instant> paused; ///< routers, and when they are resumed
     std::map<loopback_proxy*, worksshift::instant> faulty_proxies; ///< and when their fault ends
     worksshift::instant store_fails_until{};
