Other ports count what a connection holds per request, and no answer is cut off to make room

Change: handlers are registered with http_listener, which notes the request before they run, and evhttp's completion callback says when its response was sent.

--- a/src/admin_api.cpp
+++ b/src/admin_api.cpp
@@ -145,10 +145,8 @@
         this->tokens.push_back({entry.substr(0, first), operating ? role::operating : role::viewer,
                                 entry.substr(second + 1)});
     }
-    const auto handle = [](evhttp_request* request, void* self) {
-        static_cast<admin_api*>(self)->handle_request(request);
-    };
-    evhttp_set_gencb(this->listener.server(), handle, this);
+    this->listener.on_other_request(
+        [this](evhttp_request* request) { this->handle_request(request); });
 }
 
 admin_api::~admin_api() = default;
@@ -169,7 +167,6 @@
 
 void admin_api::handle_request(evhttp_request* request)
 {
-    this->listener.on_received(request);
     const std::string path = evhttp_request_get_uri(request);
     const bool post = evhttp_request_get_command(request) == EVHTTP_REQ_POST;
     const operator_token* token = this->authenticate(request);
--- a/src/http_frontend.cpp
+++ b/src/http_frontend.cpp
@@ -137,10 +137,8 @@
     evhttp_set_allowed_methods(this->listener.server(), EVHTTP_REQ_GET | EVHTTP_REQ_HEAD |
                                                             EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
                                                             EVHTTP_REQ_POST | EVHTTP_REQ_PATCH);
-    const auto handle = [](evhttp_request* request, void* self) {
-        static_cast<http_frontend*>(self)->handle_http_request(request);
-    };
-    evhttp_set_gencb(this->listener.server(), handle, this);
+    this->listener.on_other_request(
+        [this](evhttp_request* request) { this->handle_http_request(request); });
     std::random_device device;
     this->id_prefix = options.vm.text + "-" + std::to_string(device()) + "-";
 }
@@ -159,7 +157,6 @@
 
 void http_frontend::handle_http_request(evhttp_request* request)
 {
-    this->listener.on_received(request);
     raw_request raw;
     raw.method = method_name(evhttp_request_get_command(request));
     raw.path = evhttp_request_get_uri(request);
--- a/src/http_listener.cpp
+++ b/src/http_listener.cpp
@@ -95,16 +95,6 @@
             if (change->n_added > 0) connection->owner->handle_input(*connection, change->n_added);
         },
         entry.get());
-    evbuffer_add_cb(
-        bufferevent_get_output(created),
-        [](evbuffer*, const evbuffer_cb_info* change, void* context) {
-            auto* connection = static_cast<connection_state*>(context);
-            const bool sent = change->n_deleted > 0 && change->orig_size == change->n_deleted;
-            if (!sent || !connection->answering) return;
-            connection->answering = false;
-            connection->since = now();
-        },
-        entry.get());
     this->entries.push_back(std::move(entry));
     this->make_room(now());
     return created;
@@ -123,7 +113,26 @@
     if (this->account.exceeded()) this->make_room(time);
 }
 
-void http_listener::on_received(evhttp_request* request)
+void http_listener::on_request(const char* path, handler handle)
+{
+    this->routes.push_back(std::make_unique<route>(route{this, std::move(handle)}));
+    evhttp_set_cb(this->http.get(), path, dispatch, this->routes.back().get());
+}
+
+void http_listener::on_other_request(handler handle)
+{
+    this->routes.push_back(std::make_unique<route>(route{this, std::move(handle)}));
+    evhttp_set_gencb(this->http.get(), dispatch, this->routes.back().get());
+}
+
+void http_listener::dispatch(evhttp_request* request, void* context)
+{
+    const auto* to = static_cast<const route*>(context);
+    to->owner->note_received(request);
+    to->handle(request);
+}
+
+void http_listener::note_received(evhttp_request* request)
 {
     const bufferevent* socket =
         evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
@@ -134,6 +143,14 @@
     connection.receiving = false;
     connection.answering = true;
     connection.charge.set(connection_bytes);
+    evhttp_request_set_on_complete_cb(
+        request,
+        [](evhttp_request*, void* context) {
+            auto* answered = static_cast<connection_state*>(context);
+            answered->answering = false;
+            answered->since = now();
+        },
+        &connection);
 }
 
 /** Closes connections beyond the bound of their number, and those of requests that are not received
--- a/src/http_listener.h
+++ b/src/http_listener.h
@@ -38,10 +38,13 @@
     http_listener(http_listener&&) = delete;
     http_listener& operator=(http_listener&&) = delete;
 
+    using handler = std::function<void(evhttp_request*)>;
+    /** Calls \p handle with each request for \p path that was received in full. From then on
+     * whoever answers it counts what it holds, and its connection is not closed to make room. */
+    void on_request(const char* path, handler handle);
+    /** The same for all other paths. */
+    void on_other_request(handler handle);
     [[nodiscard]] evhttp* server() const { return this->http.get(); }
-    /** A request was received in full. From now on whoever answers it counts what it holds, and its
-     * connection is not closed to make room. */
-    void on_received(evhttp_request* request);
     /** Frees closed connections. To be called regularly. */
     void sweep();
     /** Stops accepting connections. */
@@ -53,7 +56,13 @@
 
 private:
     struct connection_state;
+    struct route {
+        http_listener* owner;
+        handler handle;
+    };
 
+    static void dispatch(evhttp_request* request, void* context);
+    void note_received(evhttp_request* request);
     bufferevent* accept();
     void handle_input(connection_state& connection, std::size_t bytes);
     void make_room(instant now);
@@ -66,6 +75,7 @@
     event_ptr<evhttp> http;
     evhttp_bound_socket* socket = nullptr; ///< owned by `http`
     std::vector<std::unique_ptr<connection_state>> entries;
+    std::vector<std::unique_ptr<route>> routes;
     std::uint64_t room_closed = 0;
 };
 
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -468,48 +468,28 @@
 void router::serve_peers()
 {
     this->listen_http(this->peer_http, this->options.peer, "other VMs", 2);
-    evhttp_set_cb(
-        this->peer_http->server(), config_path,
-        [](evhttp_request* request, void* self) {
-            static_cast<router*>(self)->configuration.serve(request);
-        },
-        this);
-    evhttp_set_cb(
-        this->peer_http->server(), registry_path,
-        [](evhttp_request* request, void* self) {
-            static_cast<router*>(self)->registry.serve(request);
-        },
-        this);
+    this->peer_http->on_request(
+        config_path, [this](evhttp_request* request) { this->configuration.serve(request); });
+    this->peer_http->on_request(registry_path,
+                                [this](evhttp_request* request) { this->registry.serve(request); });
 }
 
 void router::serve_readiness()
 {
     this->listen_http(this->readiness_http, this->options.readiness, "readiness checks", 4);
-    evhttp_set_gencb(
-        this->readiness_http->server(),
-        [](evhttp_request* request, void* context) {
-            const auto* self = static_cast<router*>(context);
-            const bool is_check = self->adapter.is_readiness_check(evhttp_request_get_uri(request));
-            reply(request, is_check && self->ready() ? ok : unavailable, {});
-        },
-        this);
+    this->readiness_http->on_other_request([this](evhttp_request* request) {
+        const bool is_check = this->adapter.is_readiness_check(evhttp_request_get_uri(request));
+        reply(request, is_check && this->ready() ? ok : unavailable, {});
+    });
 }
 
 void router::serve_metrics()
 {
     this->listen_http(this->metrics_http, this->options.metrics, "metrics", 4);
-    evhttp_set_cb(
-        this->metrics_http->server(), "/metrics",
-        [](evhttp_request* request, void* self) {
-            reply(request, ok, static_cast<router*>(self)->metrics_text());
-        },
-        this);
-    evhttp_set_cb(
-        this->metrics_http->server(), status_path,
-        [](evhttp_request* request, void* self) {
-            reply(request, ok, static_cast<router*>(self)->status_text());
-        },
-        this);
+    this->metrics_http->on_request(
+        "/metrics", [this](evhttp_request* request) { reply(request, ok, this->metrics_text()); });
+    this->metrics_http->on_request(
+        status_path, [this](evhttp_request* request) { reply(request, ok, this->status_text()); });
 }
 
 std::string router::status_text() const
--- a/test/error/requests_refused_for_room.cpp
+++ b/test/error/requests_refused_for_room.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(announced_over_the_limit);
     CPPUNIT_TEST(announced_without_room);
     CPPUNIT_TEST(chunks_without_room);
+    CPPUNIT_TEST(relayed_without_room);
     CPPUNIT_TEST(small_request_beside_large_ones);
     CPPUNIT_TEST(stalled_request_makes_room);
     CPPUNIT_TEST(slow_request_is_served_in_calm);
@@ -127,6 +128,20 @@
         this->expect_no_room(second);
     }
 
+    /** The VM that relays the request must learn that it can send it elsewhere. */
+    void relayed_without_room()
+    {
+        const link_address relay{"127.0.0.1", free_port()};
+        this->rig->callers->listen_for_vms(relay, [](std::uint32_t) { return true; });
+        raw_caller& first = this->rig->add_caller();
+        first.send(announcing("1", mib));
+        this->rig->run_for(milliseconds(50));
+        raw_caller relayed(this->rig->base.get(), relay);
+        relayed.send(announcing("2", mib));
+        this->expect_no_room(relayed);
+        CPPUNIT_ASSERT(!header_in(relayed.received, std::string(relay_refused_header)).empty());
+    }
+
     void small_request_beside_large_ones()
     {
         raw_caller& large = this->rig->add_caller();
