--- a/src/admin_api.cpp
+++ b/src/admin_api.cpp
@@ -45,11 +45,11 @@
     return {{"error", {{"code", code}, {"message", why}, {"step", step}}}};
 }
 
-http_bounds bounds_for_operators(const settings& options, const caller_account& account)
+http_bounds bounds_for_operators(const settings& options, const memory_account& memory)
 {
     http_bounds bounds;
     bounds.body_bytes = max_body_bytes;
-    bounds.connections = account.bounds().internal_connections / 2;
+    bounds.connections = memory.bounds().internal_connections / 2;
     bounds.idle_timeout = seconds(options.idle_timeout_s);
     bounds.no_room_response = no_room_response;
     return bounds;
@@ -134,9 +134,9 @@
 };
 
 admin_api::admin_api(event_base* base, const settings& options, node& core,
-                     platform_client& platform, config_writer& writer, caller_account& account)
+                     platform_client& platform, config_writer& writer, memory_account& memory)
     : options(options), core(core), platform(platform), writer(writer),
-      listener(base, options.admin, "operators", bounds_for_operators(options, account), account)
+      listener(base, options.admin, "operators", bounds_for_operators(options, memory), memory)
 {
     for (const std::string& entry : options.admin_tokens) {
         const std::size_t first = entry.find(':');
--- a/src/admin_api.h
+++ b/src/admin_api.h
@@ -21,7 +21,7 @@
 public:
     /** The account must live longer. */
     admin_api(event_base* base, const settings& options, node& core, platform_client& platform,
-              config_writer& writer, caller_account& account);
+              config_writer& writer, memory_account& memory);
     ~admin_api();
     admin_api(const admin_api&) = delete;
     admin_api& operator=(const admin_api&) = delete;
--- a/src/caller_connections.cpp
+++ b/src/caller_connections.cpp
@@ -206,7 +206,7 @@
 
 void caller_connections::set_caller_bounds(const caller_bounds& bounds)
 {
-    this->held.set_bounds(bounds);
+    this->memory.set_bounds(bounds);
     this->output_rules = output_limits({.total = bounds.output});
 }
 
@@ -221,7 +221,7 @@
         log_event(log_level::warn, event,
                   {{"reason", reason},
                    {"connections", this->connections.size()},
-                   {"bound", this->held.bounds().connections},
+                   {"bound", this->memory.bounds().connections},
                    {"other_sockets", this->other_sockets()},
                    {"pauses", this->pauses}});
     }
@@ -241,7 +241,7 @@
 
 bool caller_connections::has_connection_room() const
 {
-    const caller_bounds& bounds = this->held.bounds();
+    const caller_bounds& bounds = this->memory.bounds();
     return this->connections.size() < bounds.connections &&
            this->connections.size() + this->other_sockets() < bounds.sockets;
 }
@@ -249,7 +249,7 @@
 /** Whether so few connections are left that callers have to take turns. */
 bool caller_connections::is_crowded() const
 {
-    const std::size_t bound = this->held.bounds().connections;
+    const std::size_t bound = this->memory.bounds().connections;
     return this->connections.size() > bound - bound / free_connections_share;
 }
 
@@ -267,7 +267,7 @@
         if (unused || over) idle.push_back(connection.get());
     }
     std::ranges::sort(idle, {}, &connection_state::since);
-    const std::size_t bound = this->held.bounds().connections;
+    const std::size_t bound = this->memory.bounds().connections;
     const std::size_t surplus = this->connections.size() - (bound - bound / free_connections_share);
     std::size_t closed = 0;
     for (connection_state* connection : idle) {
@@ -308,7 +308,7 @@
     connection->from_vm = from_vm;
     connection->since = now();
     connection->progress.begin(connection->since);
-    connection->charge = memory_charge(this->held, memory_use::connection);
+    connection->charge = memory_charge(this->memory, memory_use::connection);
     connection->charge.set(connection_bytes);
     set_no_delay(socket);
     set_unacknowledged_timeout(socket, caller_unacknowledged_timeout);
@@ -374,7 +374,7 @@
         return;
     }
     connection.body = std::make_shared<caller_body>();
-    connection.body->charge = memory_charge(this->held, memory_use::incoming);
+    connection.body->charge = memory_charge(this->memory, memory_use::incoming);
     connection.body->charge.set(needed);
     connection.body->bytes.reserve(length);
     const std::string* expect = connection.head.find("expect");
@@ -426,12 +426,12 @@
 bool caller_connections::make_room(std::size_t bytes, bool large, const connection_state* asking,
                                    instant time)
 {
-    if (this->held.has_room(bytes, large)) return true;
+    if (this->memory.has_room(bytes, large)) return true;
     if (time - this->partial_checked_at < partial_check_period) return false;
-    this->refuse_partial(this->held.missing(bytes, large), true, asking, time);
-    if (const std::size_t missing = this->held.missing(bytes, large); missing > 0)
+    this->refuse_partial(this->memory.missing(bytes, large), true, asking, time);
+    if (const std::size_t missing = this->memory.missing(bytes, large); missing > 0)
         this->release_bodies(missing);
-    if (this->held.has_room(bytes, large)) return true;
+    if (this->memory.has_room(bytes, large)) return true;
     this->partial_checked_at = time;
     return false;
 }
@@ -448,7 +448,7 @@
         partial.push_back({connection->held_input(), connection->progress.unchanged_since(time)});
     }
     for (const std::size_t index :
-         caller_account::choose_to_refuse(partial, needed, only_stalled, time)) {
+         memory_account::choose_to_refuse(partial, needed, only_stalled, time)) {
         this->refuse(*receiving[index], input_refusal::no_memory,
                      "not run: no memory for the request");
         free_input(*receiving[index]);
@@ -510,8 +510,8 @@
     }
     this->update_charge(connection);
     for (const bool only_stalled : {true, false}) {
-        if (!this->held.exceeded()) return;
-        this->refuse_partial(this->held.missing(0, false), only_stalled, nullptr, this->read_at);
+        if (!this->memory.exceeded()) return;
+        this->refuse_partial(this->memory.missing(0, false), only_stalled, nullptr, this->read_at);
     }
 }
 
@@ -526,7 +526,7 @@
         return;
     }
     // The connection to a server takes a socket, too.
-    if (this->connections.size() + this->other_sockets() >= this->held.bounds().sockets) {
+    if (this->connections.size() + this->other_sockets() >= this->memory.bounds().sockets) {
         this->refuse(connection, input_refusal::no_socket, "not run: no socket for the request");
         return;
     }
@@ -568,7 +568,7 @@
 void caller_connections::log_refusal(const connection_state& connection, input_refusal reason) const
 {
     const std::string* id = connection.head.find("x-request-id");
-    const caller_bounds& bounds = this->held.bounds();
+    const caller_bounds& bounds = this->memory.bounds();
     log_event(log_level::info, "request_refused",
               {{"step", "read"},
                {"request", id == nullptr ? std::string() : *id},
@@ -578,8 +578,8 @@
                {"announced", connection.head.body_length.value_or(0)},
                {"received", connection.body == nullptr ? 0 : connection.body->bytes.size()},
                {"unchanged_ms", (now() - connection.progress.at) / milliseconds(1)},
-               {"held", this->held.held()},
-               {"held_incoming", this->held.held(memory_use::incoming)},
+               {"held", this->memory.held()},
+               {"held_incoming", this->memory.held(memory_use::incoming)},
                {"bound", bounds.memory},
                {"connections", this->connections.size()}});
 }
--- a/src/caller_connections.h
+++ b/src/caller_connections.h
@@ -19,8 +19,8 @@
 
 #include <sigc++/sigc++.h>
 
-#include "caller_account.h"
 #include "http_wire.h"
+#include "memory_account.h"
 #include "output_limits.h"
 #include "protocol.h"
 
@@ -106,8 +106,8 @@
     }
 
     /** Memory and descriptors that callers hold. */
-    [[nodiscard]] caller_account& account() { return this->held; }
-    [[nodiscard]] const caller_account& account() const { return this->held; }
+    [[nodiscard]] memory_account& memory_of_callers() { return this->memory; }
+    [[nodiscard]] const memory_account& memory_of_callers() const { return this->memory; }
     void set_caller_bounds(const caller_bounds& bounds);
     /** Number of sockets of this process other than those of callers and listeners. */
     std::function<std::size_t()> other_sockets = [] { return std::size_t{0}; };
@@ -189,8 +189,8 @@
                            std::optional<std::size_t> length) const;
 
     event_base* base;
-    caller_account held; ///< destroyed after all that carries charges
-    memory_charge output_charge{held, memory_use::response};
+    memory_account memory; ///< destroyed after all that carries charges
+    memory_charge output_charge{memory, memory_use::response};
     caller_limits limits;
     event_ptr<evconnlistener> listener;
     event_ptr<evconnlistener> vm_listener;
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -60,8 +60,8 @@
            random_process_id()),
       links(base.get(), options.vm, options.link, auth),
       gossip(base.get(), options.link, auth, options.datagram_loss_percent),
-      account(bounds_of({std::size_t{options.memory_mb} * bytes_per_mb, options.max_descriptors})),
-      front(base.get(), options, telemetry, account),
+      memory(bounds_of({std::size_t{options.memory_mb} * bytes_per_mb, options.max_descriptors})),
+      front(base.get(), options, telemetry, memory),
       calls(base.get(), milliseconds(options.server_idle_ms)), http(base.get()), engines(http),
       platform(base.get(), http, options.platform, options.platform_calls_per_s),
       fetcher(platform, core.config()), writer(core, platform, fetcher),
@@ -77,7 +77,7 @@
     this->shutdown.set_grace(seconds(this->options.stop_deadline_s));
     this->shutdown.set_accept_time(seconds(this->options.stop_linger_s));
     this->admin = std::make_unique<admin_api>(this->base.get(), this->options, this->core,
-                                              this->platform, this->writer, this->account);
+                                              this->platform, this->writer, this->memory);
     this->connect_signals();
 }
 
@@ -155,7 +155,7 @@
     this->http.sweep();
     this->front.sweep();
     this->admin->sweep();
-    this->heap.update(this->account.held(), time);
+    this->heap.update(this->memory.held(), time);
     this->links.sweep(time);
     this->calls.sweep(time);
     this->core.tick({time, unix_seconds()});
@@ -486,14 +486,14 @@
         << '\n'
         << "worksshift_link_bytes_total " << this->links.counters().bytes_sent << '\n'
         << "worksshift_link_refused_total " << this->links.counters().frames_refused << '\n'
-        << "worksshift_caller_memory_bound_bytes " << this->account.bounds().memory << '\n'
+        << "worksshift_caller_memory_bound_bytes " << this->memory.bounds().memory << '\n'
         << "worksshift_connections_closed_for_room_total " << this->front.closed_for_room() << '\n'
         << "worksshift_internal_connections_closed_total " << this->admin->closed_for_room() << '\n'
         << "worksshift_platform_calls_total " << this->platform.calls() << '\n'
         << "worksshift_config_revision " << this->published_revision << '\n';
     for (const memory_use use : memory_uses) {
         out << "worksshift_caller_memory_bytes{use=\"" << name_of(use) << "\"} "
-            << this->account.held(use) << '\n';
+            << this->memory.held(use) << '\n';
     }
     return out.str();
 }
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -73,7 +73,7 @@
     node core;
     link_hub links;
     gossip_socket gossip;
-    caller_account account; ///< of what callers and operators hold
+    memory_account memory; ///< of what callers and operators hold
     heap_trimmer heap;
     http_frontend front;
     server_calls calls;
--- a/src/http_frontend.cpp
+++ b/src/http_frontend.cpp
@@ -86,14 +86,14 @@
               body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n");
 }
 
-http_bounds bounds_for_callers(const settings& options, const caller_account& account)
+http_bounds bounds_for_callers(const settings& options, const memory_account& memory)
 {
     http_bounds bounds;
     bounds.head_bytes = max_request_header_bytes;
     // evhttp's own error lacks the headers of send_error, so its limit is above the one that
     // handle_http_request checks.
     bounds.body_bytes = std::size_t{2} * options.max_request_body_bytes;
-    bounds.connections = account.bounds().connections;
+    bounds.connections = memory.bounds().connections;
     bounds.idle_timeout = seconds(options.idle_timeout_s);
     bounds.no_room_response = no_room_response;
     return bounds;
@@ -130,9 +130,9 @@
 };
 
 http_frontend::http_frontend(event_base* base, const settings& options, metrics& telemetry,
-                             caller_account& account)
-    : base(base), options(options), telemetry(telemetry), account(account),
-      listener(base, options.front, "callers", bounds_for_callers(options, account), account)
+                             memory_account& memory)
+    : base(base), options(options), telemetry(telemetry), memory(memory),
+      listener(base, options.front, "callers", bounds_for_callers(options, memory), memory)
 {
     evhttp_set_allowed_methods(this->listener.server(), EVHTTP_REQ_GET | EVHTTP_REQ_HEAD |
                                                             EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
@@ -196,8 +196,8 @@
               {{"step", "read"},
                {"reason", "no_memory"},
                {"received", body_bytes},
-               {"held", this->account.held()},
-               {"bound", this->account.bounds().memory}});
+               {"held", this->memory.held()},
+               {"bound", this->memory.bounds().memory}});
     fail_request failure;
     failure.status = 503;
     failure.result = outcome::not_run;
@@ -238,7 +238,7 @@
     evbuffer* input = evhttp_request_get_input_buffer(request);
     const std::size_t size = evbuffer_get_length(input);
     const std::size_t needed = request_bytes + body_copies * size;
-    if (!this->account.has_room(needed, size >= large_body_bytes)) {
+    if (!this->memory.has_room(needed, size >= large_body_bytes)) {
         this->refuse_for_room(request, size);
         return;
     }
@@ -262,7 +262,7 @@
     pending->service = accepted.row.service;
     pending->account = accepted.row.account;
     pending->started = now;
-    pending->charge = memory_charge(this->account, memory_use::request);
+    pending->charge = memory_charge(this->memory, memory_use::request);
     pending->charge.set(needed);
     pending->between_pieces = &this->telemetry.find_or_create(latency::between_pieces,
                                                               pending->service, pending->account);
--- a/src/http_frontend.h
+++ b/src/http_frontend.h
@@ -32,7 +32,7 @@
 public:
     /** The account must live longer. */
     http_frontend(event_base* base, const settings& options, metrics& telemetry,
-                  caller_account& account);
+                  memory_account& memory);
     ~http_frontend();
     http_frontend(const http_frontend&) = delete;
     http_frontend& operator=(const http_frontend&) = delete;
@@ -86,7 +86,7 @@
     event_base* base;
     const settings& options;
     metrics& telemetry;
-    caller_account& account;
+    memory_account& memory;
     http_listener listener;
     std::shared_ptr<const fleet_config> config;
     bool leaving = false;
--- a/src/http_listener.cpp
+++ b/src/http_listener.cpp
@@ -22,7 +22,7 @@
  * a connection: its callbacks are gone then. */
 struct http_listener::connection_state {
     connection_state(http_listener* owner, bufferevent* socket)
-        : owner(owner), socket(socket), charge(owner->account, memory_use::incoming)
+        : owner(owner), socket(socket), charge(owner->memory, memory_use::incoming)
     {
         bufferevent_incref(socket);
     }
@@ -50,8 +50,8 @@
 };
 
 http_listener::http_listener(event_base* base, const link_address& at, std::string purpose,
-                             const http_bounds& bounds, caller_account& account)
-    : base(base), purpose(std::move(purpose)), bounds(bounds), account(account),
+                             const http_bounds& bounds, memory_account& memory)
+    : base(base), purpose(std::move(purpose)), bounds(bounds), memory(memory),
       http(evhttp_new(base))
 {
     evhttp_set_max_headers_size(this->http.get(), static_cast<ev_ssize_t>(bounds.head_bytes));
@@ -110,7 +110,7 @@
     }
     connection.progress.add(bytes, time);
     connection.charge.set(connection_bytes + connection.progress.received);
-    if (this->account.exceeded()) this->make_room(time);
+    if (this->memory.exceeded()) this->make_room(time);
 }
 
 void http_listener::on_request(const char* path, handler handle)
@@ -168,15 +168,15 @@
             this->close_for_room(**oldest, "connections");
     }
     for (const bool only_stalled : {true, false}) {
-        if (!this->account.exceeded()) return;
+        if (!this->memory.exceeded()) return;
         std::vector<partial_request> partial;
         std::ranges::transform(
             open, std::back_inserter(partial), [time](const connection_state* item) {
                 return partial_request{item->receiving && !item->closing ? item->charge.size() : 0,
                                        item->progress.unchanged_since(time)};
             });
-        for (const std::size_t index : caller_account::choose_to_refuse(
-                 partial, this->account.missing(0, false), only_stalled, time))
+        for (const std::size_t index : memory_account::choose_to_refuse(
+                 partial, this->memory.missing(0, false), only_stalled, time))
             this->close_for_room(*open[index], "memory");
     }
 }
@@ -189,8 +189,8 @@
               {{"port", this->purpose},
                {"reason", reason},
                {"received", connection.progress.received},
-               {"held", this->account.held()},
-               {"bound", this->account.bounds().memory},
+               {"held", this->memory.held()},
+               {"bound", this->memory.bounds().memory},
                {"connections", this->entries.size()}});
     const evutil_socket_t descriptor = bufferevent_getfd(connection.socket);
     if (connection.receiving && !this->bounds.no_room_response.empty()) {
--- a/src/http_listener.h
+++ b/src/http_listener.h
@@ -9,9 +9,9 @@
 #include <string>
 #include <vector>
 
-#include "caller_account.h"
 #include "event_loop.h"
 #include "link_address.h"
+#include "memory_account.h"
 
 namespace worksshift {
 
@@ -31,7 +31,7 @@
     /** \p purpose: of the port, for logs and errors. The account must live longer.
      * \throws user_error if the address cannot be bound. */
     http_listener(event_base* base, const link_address& at, std::string purpose,
-                  const http_bounds& bounds, caller_account& account);
+                  const http_bounds& bounds, memory_account& memory);
     ~http_listener();
     http_listener(const http_listener&) = delete;
     http_listener& operator=(const http_listener&) = delete;
@@ -71,7 +71,7 @@
     event_base* base;
     std::string purpose;
     http_bounds bounds;
-    caller_account& account;
+    memory_account& memory;
     event_ptr<evhttp> http;
     evhttp_bound_socket* socket = nullptr; ///< owned by `http`
     std::vector<std::unique_ptr<connection_state>> entries;
--- a/src/live_request.h
+++ b/src/live_request.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-#include "caller_account.h"
 #include "event_stream.h"
+#include "memory_account.h"
 #include "output_limits.h"
 #include "protocol.h"
 #include "request_content.h"
--- a/src/caller_account.cpp
+++ b/src/memory_account.cpp
@@ -1,4 +1,4 @@
-#include "caller_account.h"
+#include "memory_account.h"
 
 #include <algorithm>
 #include <numeric>
@@ -80,26 +80,26 @@
     return late ? this->begun : this->at;
 }
 
-std::size_t caller_account::missing(std::size_t bytes, bool large) const
+std::size_t memory_account::missing(std::size_t bytes, bool large) const
 {
     const std::size_t bound = large ? this->limits.large_memory : this->limits.memory;
     const std::size_t wanted = this->total + bytes;
     return wanted > bound ? wanted - bound : 0;
 }
 
-bool caller_account::has_room(std::size_t bytes, bool large) const
+bool memory_account::has_room(std::size_t bytes, bool large) const
 {
     return this->missing(bytes, large) == 0;
 }
 
-void caller_account::change(memory_use use, std::size_t before, std::size_t after)
+void memory_account::change(memory_use use, std::size_t before, std::size_t after)
 {
     this->total = this->total - before + after;
     std::size_t& held_for_use = this->by_use[static_cast<std::size_t>(use)];
     held_for_use = held_for_use - before + after;
 }
 
-std::vector<std::size_t> caller_account::choose_to_refuse(std::span<const partial_request> partial,
+std::vector<std::size_t> memory_account::choose_to_refuse(std::span<const partial_request> partial,
                                                           std::size_t needed, bool only_stalled,
                                                           instant now)
 {
--- a/src/caller_account.h
+++ b/src/memory_account.h
@@ -94,9 +94,9 @@
     [[nodiscard]] instant unchanged_since(instant now) const;
 };
 
-class caller_account {
+class memory_account {
 public:
-    explicit caller_account(const caller_bounds& bounds = bounds_of({})) : limits(bounds) {}
+    explicit memory_account(const caller_bounds& bounds = bounds_of({})) : limits(bounds) {}
 
     void set_bounds(const caller_bounds& bounds) { this->limits = bounds; }
     [[nodiscard]] const caller_bounds& bounds() const { return this->limits; }
@@ -130,7 +130,7 @@
 class memory_charge {
 public:
     memory_charge() = default;
-    memory_charge(caller_account& account, memory_use use) : account(&account), use(use) {}
+    memory_charge(memory_account& account, memory_use use) : account(&account), use(use) {}
     ~memory_charge() { this->set(0); }
     memory_charge(const memory_charge&) = delete;
     memory_charge& operator=(const memory_charge&) = delete;
@@ -143,7 +143,7 @@
     [[nodiscard]] std::size_t size() const { return this->bytes; }
 
 private:
-    caller_account* account = nullptr;
+    memory_account* account = nullptr;
     memory_use use = memory_use::connection;
     std::size_t bytes = 0;
 };
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -121,7 +121,7 @@
     }
     request.head = std::move(incoming.head);
     request.body = std::move(incoming.body);
-    request.charge = memory_charge(this->callers.account(), memory_use::request);
+    request.charge = memory_charge(this->callers.memory_of_callers(), memory_use::request);
     update_charge(request);
     request.from_vm = incoming.from_vm;
     if (request.from_vm) this->accept_relayed(request);
--- a/src/request_path_output.cpp
+++ b/src/request_path_output.cpp
@@ -146,7 +146,7 @@
         log_event(log_level::info, "body_released",
                   {{"request", request->metadata.id},
                    {"bytes", size},
-                   {"held", this->callers.account().held()},
+                   {"held", this->callers.memory_of_callers().held()},
                    {"server", last_server(*request)},
                    {"sent_ms", (now() - request->attempt_started_at) / milliseconds(1)}});
     }
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -121,13 +121,13 @@
     this->client.sweep();
     this->callers.sweep(time);
     for (server_connections* pool : {&this->connection_pool, &this->vm_connections}) {
-        pool->close_idle_beyond(this->callers.account().bounds().idle_server_connections);
+        pool->close_idle_beyond(this->callers.memory_of_callers().bounds().idle_server_connections);
         pool->sweep(time);
     }
     for (std::optional<http_listener>* listener :
          {&this->peer_http, &this->readiness_http, &this->metrics_http})
         (*listener)->sweep();
-    this->heap.update(this->callers.account().held(), time);
+    this->heap.update(this->callers.memory_of_callers().held(), time);
     this->path.tick(time);
     this->follow_store(time);
     this->start_serving();
@@ -459,10 +459,10 @@
 void router::listen_http(std::optional<http_listener>& listener, const link_address& at,
                          const char* purpose, std::size_t part)
 {
-    caller_account& account = this->callers.account();
+    memory_account& memory = this->callers.memory_of_callers();
     http_bounds bounds;
-    bounds.connections = account.bounds().internal_connections / part;
-    listener.emplace(this->base.get(), at, purpose, bounds, account);
+    bounds.connections = memory.bounds().internal_connections / part;
+    listener.emplace(this->base.get(), at, purpose, bounds, memory);
 }
 
 void router::serve_peers()
@@ -515,12 +515,12 @@
     text << "worksshift_caller_connections " << this->callers.open_connections() << '\n';
     for (const memory_use use : memory_uses) {
         text << "worksshift_caller_memory_bytes{use=\"" << name_of(use) << "\"} "
-             << this->callers.account().held(use) << '\n';
+             << this->callers.memory_of_callers().held(use) << '\n';
     }
-    text << "worksshift_caller_memory_bound_bytes " << this->callers.account().bounds().memory
-         << '\n';
-    text << "worksshift_caller_connections_bound " << this->callers.account().bounds().connections
-         << '\n';
+    text << "worksshift_caller_memory_bound_bytes "
+         << this->callers.memory_of_callers().bounds().memory << '\n';
+    text << "worksshift_caller_connections_bound "
+         << this->callers.memory_of_callers().bounds().connections << '\n';
     for (const input_refusal reason : input_refusals) {
         text << "worksshift_input_refused_total{reason=\"" << name_of(reason) << "\"} "
              << this->callers.refused(reason) << '\n';
--- a/src/router_settings.h
+++ b/src/router_settings.h
@@ -8,12 +8,12 @@
 #include <string>
 #include <vector>
 
-#include "caller_account.h"
 #include "cold_servers.h"
 #include "errors.h"
 #include "fleet_retry_budget.h"
 #include "link_address.h"
 #include "log.h"
+#include "memory_account.h"
 #include "placement_policy.h"
 
 namespace worksshift {
--- a/src/server_connections.h
+++ b/src/server_connections.h
@@ -14,8 +14,8 @@
 
 #include <sigc++/sigc++.h>
 
-#include "caller_account.h"
 #include "http_wire.h"
+#include "memory_account.h"
 #include "protocol.h"
 
 namespace worksshift {
--- a/test/error/internal_ports_are_bounded.cpp
+++ b/test/error/internal_ports_are_bounded.cpp
@@ -26,7 +26,7 @@
     CPPUNIT_TEST_SUITE_END();
 
     event_ptr<event_base> base;
-    std::unique_ptr<caller_account> account;
+    std::unique_ptr<memory_account> account;
     std::unique_ptr<http_listener> listener;
     std::unique_ptr<timer> ticker;
     std::vector<std::unique_ptr<raw_caller>> clients;
@@ -67,7 +67,7 @@
     {
         this->base = make_event_base();
         this->at = {"127.0.0.1", free_port()};
-        this->account = std::make_unique<caller_account>();
+        this->account = std::make_unique<memory_account>();
         http_bounds bounds;
         bounds.connections = max_connections;
         this->listener = std::make_unique<http_listener>(this->base.get(), this->at, "tests",
--- a/test/error/caller_account_decides.cpp
+++ b/test/error/memory_account_decides.cpp
@@ -1,11 +1,11 @@
 /** \file
- * The decisions of `caller_account`. Guards against bounds that do not fit the machine, large
+ * The decisions of `memory_account`. Guards against bounds that do not fit the machine, large
  * bodies that take the room of small ones, and against refusing requests that make progress while
  * others hold memory without any.
  */
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "caller_account.h"
+#include "memory_account.h"
 
 namespace {
 
@@ -15,8 +15,8 @@
 constexpr std::size_t mib = kib * kib;
 const instant start = instant{} + seconds(100);
 
-class caller_account_decides : public CppUnit::TestFixture {
-    CPPUNIT_TEST_SUITE(caller_account_decides);
+class memory_account_decides : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(memory_account_decides);
     CPPUNIT_TEST(bounds_fit_the_machine);
     CPPUNIT_TEST(large_bodies_leave_room_for_small_ones);
     CPPUNIT_TEST(charges_count_what_is_held);
@@ -48,7 +48,7 @@
 
     void large_bodies_leave_room_for_small_ones()
     {
-        caller_account account({.memory = 8 * mib, .large_memory = 6 * mib});
+        memory_account account({.memory = 8 * mib, .large_memory = 6 * mib});
         memory_charge held(account, memory_use::incoming);
         held.set(6 * mib);
         CPPUNIT_ASSERT(!account.has_room(1, true));
@@ -61,7 +61,7 @@
 
     void charges_count_what_is_held()
     {
-        caller_account account;
+        memory_account account;
         memory_charge first(account, memory_use::incoming);
         first.set(10 * kib);
         {
@@ -84,15 +84,15 @@
         };
         using order = std::vector<std::size_t>;
         const instant now = start + milliseconds(100);
-        CPPUNIT_ASSERT(order{2} == caller_account::choose_to_refuse(partial, mib, true, now));
+        CPPUNIT_ASSERT(order{2} == memory_account::choose_to_refuse(partial, mib, true, now));
         CPPUNIT_ASSERT((order{2, 1}) ==
-                       caller_account::choose_to_refuse(partial, 2 * mib + 1, true, now));
+                       memory_account::choose_to_refuse(partial, 2 * mib + 1, true, now));
         CPPUNIT_ASSERT((order{2, 1, 3}) ==
-                       caller_account::choose_to_refuse(partial, 100 * mib, true, now));
+                       memory_account::choose_to_refuse(partial, 100 * mib, true, now));
         CPPUNIT_ASSERT_EQUAL(
             std::size_t{4},
-            caller_account::choose_to_refuse(partial, 100 * mib, false, now).size());
-        CPPUNIT_ASSERT(caller_account::choose_to_refuse(partial, 0, false, now).empty());
+            memory_account::choose_to_refuse(partial, 100 * mib, false, now).size());
+        CPPUNIT_ASSERT(memory_account::choose_to_refuse(partial, 0, false, now).empty());
     }
 
     /** 10 Mbit/s is progress; a byte every 100 ms is none. */
@@ -141,6 +141,6 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(caller_account_decides);
+CPPUNIT_TEST_SUITE_REGISTRATION(memory_account_decides);
 
 } // namespace
--- a/test/error/requests_refused_for_room.cpp
+++ b/test/error/requests_refused_for_room.cpp
@@ -104,8 +104,9 @@
     {
         raw_caller& first = this->rig->add_caller();
         first.send(announcing("1", mib));
-        CPPUNIT_ASSERT(this->rig->run_until(
-            [&] { return this->rig->callers->account().held(memory_use::incoming) > mib; }));
+        CPPUNIT_ASSERT(this->rig->run_until([&] {
+            return this->rig->callers->memory_of_callers().held(memory_use::incoming) > mib;
+        }));
         raw_caller& second = this->rig->add_caller();
         second.send(announcing("2", mib));
         this->expect_no_room(second);
@@ -118,8 +119,9 @@
     {
         raw_caller& first = this->rig->add_caller();
         first.send(announcing("1", mib));
-        CPPUNIT_ASSERT(this->rig->run_until(
-            [&] { return this->rig->callers->account().held(memory_use::incoming) > mib; }));
+        CPPUNIT_ASSERT(this->rig->run_until([&] {
+            return this->rig->callers->memory_of_callers().held(memory_use::incoming) > mib;
+        }));
         raw_caller& second = this->rig->add_caller();
         std::string text = head("2", "Transfer-Encoding: chunked\r\n");
         for (int chunk = 0; chunk < 15; ++chunk)
@@ -220,8 +222,8 @@
             whole.leave();
             partial.leave();
         }
-        CPPUNIT_ASSERT(
-            this->rig->run_until([&] { return this->rig->callers->account().held() == 0; }));
+        CPPUNIT_ASSERT(this->rig->run_until(
+            [&] { return this->rig->callers->memory_of_callers().held() == 0; }));
     }
 };
 
--- a/test/fuzz/caller_account_matches_holdings.cpp
+++ b/test/fuzz/memory_account_matches_holdings.cpp
@@ -8,7 +8,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
-#include "caller_account.h"
+#include "memory_account.h"
 
 namespace {
 
@@ -19,7 +19,7 @@
 /** Requests with their charges, and a plain sum as the oracle. */
 class holdings {
 public:
-    explicit holdings(caller_account& account) : account(account) {}
+    explicit holdings(memory_account& account) : account(account) {}
 
     void begin(std::size_t announced, instant now)
     {
@@ -129,7 +129,7 @@
         }
         const std::size_t needed = this->account.missing(bytes, large);
         const std::vector<std::size_t> chosen =
-            caller_account::choose_to_refuse(partial, needed, true, now);
+            memory_account::choose_to_refuse(partial, needed, true, now);
         std::size_t freed = 0;
         for (const std::size_t index : chosen) {
             // None is refused once enough is free, and none that makes progress.
@@ -141,14 +141,14 @@
         return this->account.has_room(bytes, large);
     }
 
-    caller_account& account;
+    memory_account& account;
     std::map<std::uint64_t, request> requests;
     std::vector<buffer> buffers;
     std::uint64_t next = 0;
 };
 
-class caller_account_matches_holdings : public CppUnit::TestFixture {
-    CPPUNIT_TEST_SUITE(caller_account_matches_holdings);
+class memory_account_matches_holdings : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(memory_account_matches_holdings);
     CPPUNIT_TEST(any_order);
     CPPUNIT_TEST_SUITE_END();
 
@@ -157,7 +157,7 @@
     {
         const bool passed = rc::check("the counted bytes are those that are held", [] {
             constexpr std::size_t bound = 1024 * kib;
-            caller_account account({.memory = bound, .large_memory = bound / 4 * 3});
+            memory_account account({.memory = bound, .large_memory = bound / 4 * 3});
             {
                 holdings all(account);
                 instant now = instant{} + seconds(100);
@@ -205,6 +205,6 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(caller_account_matches_holdings);
+CPPUNIT_TEST_SUITE_REGISTRATION(memory_account_matches_holdings);
 
 } // namespace
