--- a/src/server_connections.h
+++ b/src/server_connections.h
@@ -143,12 +143,12 @@
     event_base* base;
     const protocol& adapter;
     std::optional<link_address> source;
+    std::size_t sockets = 0; ///< of the connections below, which count themselves
     std::unordered_map<std::uint64_t, connection_ptr> attempts;
     std::unordered_map<std::uint32_t, connection_ptr> checks;
     std::unordered_map<server_id, std::vector<connection_ptr>> idle;
     std::vector<connection_ptr> closed; ///< freed in the next sweep, never in their own callbacks
     std::uint64_t connections_opened = 0;
-    std::size_t sockets = 0;
 };
 
 } // namespace worksshift
