--- a/src/router.cpp
+++ b/src/router.cpp
@@ -124,9 +124,9 @@
         pool->close_idle_beyond(this->callers.memory_of_callers().bounds().idle_server_connections);
         pool->sweep(time);
     }
-    for (std::optional<http_listener>* listener :
-         {&this->peer_http, &this->readiness_http, &this->metrics_http})
-        (*listener)->sweep();
+    this->peer_http->sweep();
+    this->readiness_http->sweep();
+    this->metrics_http->sweep();
     this->heap.update(this->callers.memory_of_callers().held(), time);
     this->path.tick(time);
     this->follow_store(time);
@@ -456,18 +456,18 @@
 
 /** Serves a port on which requests have no bodies. \p part: the port has this part of the
  * connections that are kept for others than callers. */
-void router::listen_http(std::optional<http_listener>& listener, const link_address& at,
-                         const char* purpose, std::size_t part)
+std::unique_ptr<http_listener> router::listen_http(const link_address& at, const char* purpose,
+                                                   std::size_t part)
 {
     memory_account& memory = this->callers.memory_of_callers();
     http_bounds bounds;
     bounds.connections = memory.bounds().internal_connections / part;
-    listener.emplace(this->base.get(), at, purpose, bounds, memory);
+    return std::make_unique<http_listener>(this->base.get(), at, purpose, bounds, memory);
 }
 
 void router::serve_peers()
 {
-    this->listen_http(this->peer_http, this->options.peer, "other VMs", 2);
+    this->peer_http = this->listen_http(this->options.peer, "other VMs", 2);
     this->peer_http->on_request(
         config_path, [this](evhttp_request* request) { this->configuration.serve(request); });
     this->peer_http->on_request(registry_path,
@@ -476,7 +476,7 @@
 
 void router::serve_readiness()
 {
-    this->listen_http(this->readiness_http, this->options.readiness, "readiness checks", 4);
+    this->readiness_http = this->listen_http(this->options.readiness, "readiness checks", 4);
     this->readiness_http->on_other_request([this](evhttp_request* request) {
         const bool is_check = this->adapter.is_readiness_check(evhttp_request_get_uri(request));
         reply(request, is_check && this->ready() ? ok : unavailable, {});
@@ -485,7 +485,7 @@
 
 void router::serve_metrics()
 {
-    this->listen_http(this->metrics_http, this->options.metrics, "metrics", 4);
+    this->metrics_http = this->listen_http(this->options.metrics, "metrics", 4);
     this->metrics_http->on_request(
         "/metrics", [this](evhttp_request* request) { reply(request, ok, this->metrics_text()); });
     this->metrics_http->on_request(
--- a/src/router.h
+++ b/src/router.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <optional>
 
 #include "caller_connections.h"
@@ -64,8 +65,8 @@
     bool check_store_path(bool needed, instant now);
     double fleet_demand_ratio(std::size_t alive, instant now);
     local_state build_local_state(instant now);
-    void listen_http(std::optional<http_listener>& listener, const link_address& at,
-                     const char* purpose, std::size_t part);
+    [[nodiscard]] std::unique_ptr<http_listener> listen_http(const link_address& at,
+                                                             const char* purpose, std::size_t part);
     void serve_peers();
     void serve_readiness();
     void serve_metrics();
@@ -98,9 +99,9 @@
     config_follower configuration;
     registry_follower registry;
     evacuation_follower evacuations;
-    std::optional<http_listener> peer_http;
-    std::optional<http_listener> readiness_http;
-    std::optional<http_listener> metrics_http;
+    std::unique_ptr<http_listener> peer_http;
+    std::unique_ptr<http_listener> readiness_http;
+    std::unique_ptr<http_listener> metrics_http;
     timer ticker;
     signal_handler on_term;
     signal_handler on_int;
--- a/test/crowds/crowds_at_a_router.cpp
+++ b/test/crowds/crowds_at_a_router.cpp
@@ -469,7 +469,8 @@
                 return status.has_value();
             },
             seconds(this->fleet->stop_grace_s + 2)));
-        CPPUNIT_ASSERT(*status == 0 || *status == 1);
+        constexpr int cut_off = 1;
+        CPPUNIT_ASSERT(status == std::optional(0) || status == std::optional(cut_off));
     }
 
     void configuration_with_a_lower_limit_amid_a_crowd()
--- a/test/error/memory_account_decides.cpp
+++ b/test/error/memory_account_decides.cpp
@@ -43,7 +43,7 @@
                            bounds.sockets);
             CPPUNIT_ASSERT(bounds.sockets + bounds.internal_connections + 200 <= 4100);
         }
-        CPPUNIT_ASSERT(bounds_of({160 * mib, 4100}).large_memory > 8 * 4 * mib);
+        CPPUNIT_ASSERT(bounds_of({160 * mib, 4100}).large_memory > 32 * mib);
     }
 
     void large_bodies_leave_room_for_small_ones()
