Charges of memory may outlive the account

Cause: libevent frees a closed connection's buffers with its loop if the loop has ended, and a buffer may refer to a body whose charge refers to the account, which was gone by then: a router that stopped while a large body was unsent read freed memory as it exited.

Change: charges share the counters with the account. Test: memory_account_decides::a_charge_may_outlive_its_account.

--- a/src/caller_connections.h
+++ b/src/caller_connections.h
@@ -189,7 +189,7 @@
                            std::optional<std::size_t> length) const;
 
     event_base* base;
-    memory_account memory; ///< destroyed after all that carries charges
+    memory_account memory;
     memory_charge output_charge{memory, memory_use::response};
     caller_limits limits;
     event_ptr<evconnlistener> listener;
--- a/src/memory_account.cpp
+++ b/src/memory_account.cpp
@@ -83,7 +83,7 @@
 std::size_t memory_account::missing(std::size_t bytes, bool large) const
 {
     const std::size_t bound = large ? this->limits.large_memory : this->limits.memory;
-    const std::size_t wanted = this->total + bytes;
+    const std::size_t wanted = this->held() + bytes;
     return wanted > bound ? wanted - bound : 0;
 }
 
@@ -92,7 +92,7 @@
     return this->missing(bytes, large) == 0;
 }
 
-void memory_account::change(memory_use use, std::size_t before, std::size_t after)
+void memory_counters::change(memory_use use, std::size_t before, std::size_t after)
 {
     this->total = this->total - before + after;
     std::size_t& held_for_use = this->by_use[static_cast<std::size_t>(use)];
@@ -125,14 +125,13 @@
 }
 
 memory_charge::memory_charge(memory_charge&& other) noexcept
-    : account(std::exchange(other.account, nullptr)), use(other.use),
-      bytes(std::exchange(other.bytes, 0))
+    : counters(std::move(other.counters)), use(other.use), bytes(std::exchange(other.bytes, 0))
 {
 }
 
 memory_charge& memory_charge::operator=(memory_charge&& other) noexcept
 {
-    std::swap(this->account, other.account);
+    std::swap(this->counters, other.counters);
     std::swap(this->use, other.use);
     std::swap(this->bytes, other.bytes);
     return *this;
@@ -140,8 +139,8 @@
 
 void memory_charge::set(std::size_t new_bytes)
 {
-    if (this->account == nullptr) return;
-    this->account->change(this->use, this->bytes, new_bytes);
+    if (this->counters == nullptr) return;
+    this->counters->change(this->use, this->bytes, new_bytes);
     this->bytes = new_bytes;
 }
 
--- a/src/memory_account.h
+++ b/src/memory_account.h
@@ -94,9 +94,23 @@
     [[nodiscard]] instant unchanged_since(instant now) const;
 };
 
+/** Bytes that are held, in all and by use. */
+struct memory_counters {
+    std::size_t total = 0;
+    std::array<std::size_t, memory_uses.size()> by_use{};
+
+    /** Replaces \p before bytes by \p after bytes. */
+    void change(memory_use use, std::size_t before, std::size_t after);
+};
+
 class memory_account {
 public:
     explicit memory_account(const caller_bounds& bounds = bounds_of({})) : limits(bounds) {}
+    ~memory_account() = default;
+    memory_account(const memory_account&) = delete;
+    memory_account& operator=(const memory_account&) = delete;
+    memory_account(memory_account&&) = delete;
+    memory_account& operator=(memory_account&&) = delete;
 
     void set_bounds(const caller_bounds& bounds) { this->limits = bounds; }
     [[nodiscard]] const caller_bounds& bounds() const { return this->limits; }
@@ -104,14 +118,12 @@
     [[nodiscard]] bool has_room(std::size_t bytes, bool large) const;
     /** Bytes to free before `has_room` is true. */
     [[nodiscard]] std::size_t missing(std::size_t bytes, bool large) const;
-    [[nodiscard]] bool exceeded() const { return this->total > this->limits.memory; }
-    [[nodiscard]] std::size_t held() const { return this->total; }
+    [[nodiscard]] bool exceeded() const { return this->held() > this->limits.memory; }
+    [[nodiscard]] std::size_t held() const { return this->counters->total; }
     [[nodiscard]] std::size_t held(memory_use use) const
     {
-        return this->by_use[static_cast<std::size_t>(use)];
+        return this->counters->by_use[static_cast<std::size_t>(use)];
     }
-    /** Replaces \p before bytes by \p after bytes. */
-    void change(memory_use use, std::size_t before, std::size_t after);
 
     /** Which requests to refuse so that at least \p needed bytes are freed, as indexes into
      * \p partial: those first that have held most bytes for the longest time without progress.
@@ -121,16 +133,21 @@
                      bool only_stalled, instant now);
 
 private:
+    friend class memory_charge;
+
     caller_bounds limits;
-    std::size_t total = 0;
-    std::array<std::size_t, memory_uses.size()> by_use{};
+    /** Shared with the charges: libevent frees the last buffers with its loop, after all else. */
+    std::shared_ptr<memory_counters> counters = std::make_shared<memory_counters>();
 };
 
-/** Bytes counted in an account until the charge is destroyed. The account must live longer. */
+/** Bytes counted in an account until the charge is destroyed, which may be after the account. */
 class memory_charge {
 public:
     memory_charge() = default;
-    memory_charge(memory_account& account, memory_use use) : account(&account), use(use) {}
+    memory_charge(const memory_account& account, memory_use use)
+        : counters(account.counters), use(use)
+    {
+    }
     ~memory_charge() { this->set(0); }
     memory_charge(const memory_charge&) = delete;
     memory_charge& operator=(const memory_charge&) = delete;
@@ -143,7 +160,7 @@
     [[nodiscard]] std::size_t size() const { return this->bytes; }
 
 private:
-    memory_account* account = nullptr;
+    std::shared_ptr<memory_counters> counters; ///< nullptr: nothing is counted
     memory_use use = memory_use::connection;
     std::size_t bytes = 0;
 };
--- a/test/error/memory_account_decides.cpp
+++ b/test/error/memory_account_decides.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(bounds_fit_the_machine);
     CPPUNIT_TEST(large_bodies_leave_room_for_small_ones);
     CPPUNIT_TEST(charges_count_what_is_held);
+    CPPUNIT_TEST(a_charge_may_outlive_its_account);
     CPPUNIT_TEST(stalled_requests_are_refused_by_size_and_time);
     CPPUNIT_TEST(a_trickle_is_no_progress);
     CPPUNIT_TEST(a_body_behind_its_time_is_no_progress);
@@ -73,6 +74,16 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, account.held());
     }
 
+    /** libevent frees the buffers that refer to bodies with its loop, after all else. */
+    void a_charge_may_outlive_its_account()
+    {
+        auto account = std::make_unique<memory_account>();
+        memory_charge charge(*account, memory_use::request);
+        charge.set(10 * kib);
+        account.reset();
+        charge.set(0);
+    }
+
     void stalled_requests_are_refused_by_size_and_time()
     {
         const std::vector<partial_request> partial{
