--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -65,8 +65,11 @@
       calls(base.get(), milliseconds(options.server_idle_ms)), http(base.get()), engines(http),
       platform(base.get(), http, options.platform, options.platform_calls_per_s),
       fetcher(platform, core.config()), writer(core, platform, fetcher),
-      next_tick(base.get(), [this] { this->tick(); }),
-      tick_timer(base.get(), [this] { this->schedule_tick(); }),
+      next_tick(base.get(), [this] { this->tick(); }), tick_timer(base.get(),
+                                                                  [this] {
+                                                                      this->release_memory();
+                                                                      this->schedule_tick();
+                                                                  }),
       vm_list_timer(base.get(), [this] { this->list_vms(); }),
       load_poll_timer(base.get(), [this] { this->poll_loads(); }),
       watch_timer(base.get(), [this] { this->watch_config(); }),
@@ -141,6 +144,14 @@
     return this->exit_status;
 }
 
+/** Not part of a tick, which follows each event: it goes over all connections. */
+void daemon::release_memory()
+{
+    this->front.sweep();
+    this->admin->sweep();
+    this->heap.update(this->memory.held(), now());
+}
+
 void daemon::schedule_tick()
 {
     if (this->tick_scheduled) return;
@@ -153,9 +164,6 @@
     this->tick_scheduled = false;
     const instant time = now();
     this->http.sweep();
-    this->front.sweep();
-    this->admin->sweep();
-    this->heap.update(this->memory.held(), time);
     this->links.sweep(time);
     this->calls.sweep(time);
     this->core.tick({time, unix_seconds()});
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -33,6 +33,7 @@
 
 private:
     void connect_signals();
+    void release_memory();
     void schedule_tick();
     void tick();
     void execute(const action& next_action);
--- a/src/http_listener.cpp
+++ b/src/http_listener.cpp
@@ -157,11 +157,13 @@
  * in full while the account is exceeded. */
 void http_listener::make_room(instant time)
 {
+    const bool too_many = this->entries.size() > this->bounds.connections;
+    if (!too_many && !this->memory.exceeded()) return;
     std::vector<connection_state*> open;
     for (const auto& entry : this->entries) {
         if (!entry->answering && !entry->closing && !entry->freed()) open.push_back(entry.get());
     }
-    if (this->entries.size() > this->bounds.connections) {
+    if (too_many) {
         const auto oldest = std::ranges::min_element(open, {}, &connection_state::since);
         // The newest one is being accepted.
         if (oldest != open.end() && *oldest != this->entries.back().get())
--- a/src/server_connections.cpp
+++ b/src/server_connections.cpp
@@ -372,10 +372,13 @@
 
 void server_connections::close_idle_beyond(std::size_t count)
 {
+    std::size_t open = 0;
+    for (const auto& [server, pool] : this->idle)
+        open += pool.size();
+    if (open <= count) return;
     std::vector<connection_ptr> all;
     for (const auto& [server, pool] : this->idle)
         std::ranges::copy(pool, std::back_inserter(all));
-    if (all.size() <= count) return;
     std::ranges::sort(all, {}, [](const connection_ptr& item) { return item->since; });
     all.resize(all.size() - count);
     for (const connection_ptr& connection : all)
