Simpler: states, refusals and figures of the memory account each stand once

- is_idle and is_receiving in place of the same condition in two pairs of functions;
- refusing a request and freeing its input is one function, and the text for lack of memory one constant; a lingering connection returns from read() at once and its parser is not reset each time;
- the metrics of the account, bytes_per_mb and the largest bound of unsent output stand once, not in both daemons and beside output_limits;
- a doc comment of daemon.cpp is back at its function, constants of the same kind stand together, an unused accessor is gone.

Behaviour is the same.

--- a/src/caller_connections.cpp
+++ b/src/caller_connections.cpp
@@ -21,6 +21,12 @@
 /** How long input is still read and discarded after the last response on a connection, so that the
  * caller can read that response before the connection is closed. */
 constexpr duration linger_time = seconds(1);
+/** The same for a request that found no room: its caller may have to send the rest of a large body
+ * before it reads the response. */
+constexpr duration no_room_linger_time = seconds(4);
+/** Bytes that are discarded after a refusal, beyond the largest legal body. */
+constexpr std::size_t max_discarded_bytes = std::size_t{256} * 1024;
+constexpr std::string_view no_memory_text = "not run: no memory for the request";
 /** Timeout for receiving a body that still makes progress, as from a caller of a distant region,
  * counted from the end of the head. Others are refused after `receive_time`. */
 constexpr duration max_body_time = seconds(60);
@@ -33,11 +39,6 @@
  * as the connection closes cannot know whether its request ran. Longer than a round trip to
  * callers of the same region. */
 constexpr duration closing_idle_time = milliseconds(100);
-/** The same for a request that found no room: its caller may have to send the rest of a large body
- * before it reads the response. */
-constexpr duration no_room_linger_time = seconds(4);
-/** Bytes that are discarded after a refusal, beyond the largest legal body. */
-constexpr std::size_t max_discarded_bytes = std::size_t{256} * 1024;
 /** Maximum number of bytes buffered of pipelined requests while a response is in progress: one read
  * of the socket. */
 constexpr std::size_t max_read_ahead_bytes = std::size_t{4} * 1024;
@@ -118,6 +119,11 @@
     {
     }
 
+    /** Whether nothing of a next request has been read, and none is in progress. */
+    [[nodiscard]] bool is_idle() const
+    {
+        return this->current_stage == stage::reading && this->reader.idle();
+    }
     /** Whether a request is being received. */
     [[nodiscard]] bool is_receiving() const
     {
@@ -260,8 +266,7 @@
     std::vector<connection_state*> idle;
     for (const auto& [id, connection] : this->connections) {
         const duration age = time - connection->since;
-        const bool unused = connection->current_stage == connection_state::stage::reading &&
-                            connection->reader.idle() && age >= min_idle_to_close;
+        const bool unused = connection->is_idle() && age >= min_idle_to_close;
         const bool over = connection->current_stage == connection_state::stage::lingering &&
                           age >= min_linger_to_close;
         if (unused || over) idle.push_back(connection.get());
@@ -370,7 +375,7 @@
     const std::size_t needed = request_bytes + 2 * size_in_memory(connection.head) + length;
     connection.charge.set(connection_bytes);
     if (!this->make_room(needed, large, &connection, this->read_at)) {
-        this->refuse(connection, input_refusal::no_memory, "not run: no memory for the request");
+        this->refuse(connection, input_refusal::no_memory, no_memory_text);
         return;
     }
     connection.body = std::make_shared<caller_body>();
@@ -395,7 +400,7 @@
         return;
     }
     if (!this->grow_body(connection, size)) {
-        this->refuse(connection, input_refusal::no_memory, "not run: no memory for the request");
+        this->refuse(connection, input_refusal::no_memory, no_memory_text);
         return;
     }
     connection.progress.add(bytes.size(), this->read_at);
@@ -428,7 +433,7 @@
 {
     if (this->memory.has_room(bytes, large)) return true;
     if (time - this->partial_checked_at < partial_check_period) return false;
-    this->refuse_partial(this->memory.missing(bytes, large), true, asking, time);
+    this->free_memory(this->memory.missing(bytes, large), true, asking, time);
     if (const std::size_t missing = this->memory.missing(bytes, large); missing > 0)
         this->release_bodies(missing);
     if (this->memory.has_room(bytes, large)) return true;
@@ -437,8 +442,8 @@
 }
 
 /** Refuses requests that are not received in full, so that \p needed bytes become free. */
-void caller_connections::refuse_partial(std::size_t needed, bool only_stalled,
-                                        const connection_state* asking, instant time)
+void caller_connections::free_memory(std::size_t needed, bool only_stalled,
+                                     const connection_state* asking, instant time)
 {
     std::vector<connection_state*> receiving;
     std::vector<partial_request> partial;
@@ -449,12 +454,19 @@
     }
     for (const std::size_t index :
          memory_account::choose_to_refuse(partial, needed, only_stalled, time)) {
-        this->refuse(*receiving[index], input_refusal::no_memory,
-                     "not run: no memory for the request");
-        free_input(*receiving[index]);
+        this->refuse_partial(*receiving[index], input_refusal::no_memory, no_memory_text);
     }
 }
 
+/** Refuses a request that is not received in full. Must not be called while the connection is being
+ * read. */
+void caller_connections::refuse_partial(connection_state& connection, input_refusal reason,
+                                        std::string_view text)
+{
+    this->refuse(connection, reason, text);
+    free_input(connection);
+}
+
 /** Frees what was received of a request that is refused. Must not be called while the connection is
  * being read. */
 void caller_connections::free_input(connection_state& connection)
@@ -465,7 +477,7 @@
     connection.charge.set(connection_bytes);
 }
 
-void caller_connections::update_charge(connection_state& connection) const
+void caller_connections::update_charge(connection_state& connection)
 {
     const std::size_t head =
         connection.reader.head_complete() ? 0 : 2 * connection.reader.held_bytes();
@@ -482,6 +494,7 @@
         evbuffer_drain(input, evbuffer_get_length(input));
         if (connection.discarded > this->limits.max_body_bytes + max_discarded_bytes)
             this->drop(connection);
+        return;
     }
     while (connection.current_stage == connection_state::stage::reading &&
            evbuffer_get_length(input) > 0) {
@@ -491,11 +504,8 @@
         }
         connection.reader.set_max_head_bytes(this->limits.max_header_bytes);
         const read_result result = connection.reader.read(input);
-        if (connection.current_stage != connection_state::stage::reading) {
-            free_input(connection);
-            return;
-        }
-        if (result == read_result::need_more) break;
+        const bool refused = connection.current_stage != connection_state::stage::reading;
+        if (refused || result == read_result::need_more) break;
         if (result == read_result::message_complete) {
             this->deliver_request(connection);
         } else if (result == read_result::head_too_large) {
@@ -511,7 +521,7 @@
     this->update_charge(connection);
     for (const bool only_stalled : {true, false}) {
         if (!this->memory.exceeded()) return;
-        this->refuse_partial(this->memory.missing(0, false), only_stalled, nullptr, this->read_at);
+        this->free_memory(this->memory.missing(0, false), only_stalled, nullptr, this->read_at);
     }
 }
 
@@ -774,11 +784,9 @@
         } else if (connection.reader.head_complete()) {
             const bool progressing = time - connection.progress.at < stalled_after;
             if (age <= (progressing ? max_body_time : receive_time)) return;
-            this->refuse(connection, input_refusal::too_slow, "body too slow");
-            free_input(connection);
+            this->refuse_partial(connection, input_refusal::too_slow, "body too slow");
         } else if (age > this->limits.header_timeout) {
-            this->refuse(connection, input_refusal::too_slow, "head too slow");
-            free_input(connection);
+            this->refuse_partial(connection, input_refusal::too_slow, "head too slow");
         }
         return;
     case connection_state::stage::responding:
@@ -906,8 +914,7 @@
     this->listener.reset();
     this->vm_listener.reset();
     for (const auto& [id, connection] : this->connections) {
-        const bool idle = connection->current_stage == connection_state::stage::reading &&
-                          connection->reader.idle() && time - connection->since > closing_idle_time;
+        const bool idle = connection->is_idle() && time - connection->since > closing_idle_time;
         if (idle && !has_unread_input(bufferevent_getfd(connection->socket.get())))
             this->drop(*connection);
     }
@@ -916,11 +923,8 @@
 void caller_connections::refuse_incomplete()
 {
     for (const auto& [id, connection] : this->connections) {
-        const bool incomplete = connection->current_stage == connection_state::stage::reading &&
-                                !connection->reader.idle();
-        if (!incomplete) continue;
-        this->refuse(*connection, input_refusal::stopping, "not run: the VM is stopping");
-        free_input(*connection);
+        if (!connection->is_receiving()) continue;
+        this->refuse_partial(*connection, input_refusal::stopping, "not run: the VM is stopping");
     }
 }
 
--- a/src/caller_connections.h
+++ b/src/caller_connections.h
@@ -169,11 +169,12 @@
     void log_refusal(const connection_state& connection, input_refusal reason) const;
     [[nodiscard]] bool make_room(std::size_t bytes, bool large, const connection_state* asking,
                                  instant now);
-    void refuse_partial(std::size_t needed, bool only_stalled, const connection_state* asking,
-                        instant now);
+    void free_memory(std::size_t needed, bool only_stalled, const connection_state* asking,
+                     instant now);
+    void refuse_partial(connection_state& connection, input_refusal reason, std::string_view text);
     [[nodiscard]] bool grow_body(connection_state& connection, std::size_t size);
     static void free_input(connection_state& connection);
-    void update_charge(connection_state& connection) const;
+    static void update_charge(connection_state& connection);
     void handle_event(connection_state& connection, short events);
     void end_response(connection_state& connection);
     void drop(connection_state& connection);
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -37,8 +37,6 @@
 }
 
 /** Increases with every start of a VM, so that its state overrides that of the previous run. */
-constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
-
 std::uint64_t initial_incarnation()
 {
     const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
@@ -494,15 +492,11 @@
         << '\n'
         << "worksshift_link_bytes_total " << this->links.counters().bytes_sent << '\n'
         << "worksshift_link_refused_total " << this->links.counters().frames_refused << '\n'
-        << "worksshift_caller_memory_bound_bytes " << this->memory.bounds().memory << '\n'
         << "worksshift_connections_closed_for_room_total " << this->front.closed_for_room() << '\n'
         << "worksshift_internal_connections_closed_total " << this->admin->closed_for_room() << '\n'
         << "worksshift_platform_calls_total " << this->platform.calls() << '\n'
         << "worksshift_config_revision " << this->published_revision << '\n';
-    for (const memory_use use : memory_uses) {
-        out << "worksshift_caller_memory_bytes{use=\"" << name_of(use) << "\"} "
-            << this->memory.held(use) << '\n';
-    }
+    this->memory.write_metrics(out);
     return out.str();
 }
 
--- a/src/http_frontend.cpp
+++ b/src/http_frontend.cpp
@@ -18,7 +18,7 @@
 /** Copies of a request's body: parsed, for its attempts, and on its way to a server. */
 constexpr std::size_t body_copies = 3;
 constexpr std::uint32_t no_room_retry_after_ms = 500;
-/** The same as `send_error` sends for lack of memory. */
+/** As `send_error` answers for lack of memory, without its body. */
 constexpr std::string_view no_room_response =
     "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nX-Worksshift-Outcome: not_run\r\n"
     "Retry-After: 1\r\nRetry-After-Ms: 500\r\nContent-Length: 0\r\n\r\n";
--- a/src/http_listener.h
+++ b/src/http_listener.h
@@ -50,7 +50,6 @@
     /** Stops accepting connections. */
     void close();
 
-    [[nodiscard]] std::size_t connections() const { return this->entries.size(); }
     /** Connections that were closed to make room. */
     [[nodiscard]] std::uint64_t closed_for_room() const { return this->room_closed; }
 
--- a/src/memory_account.cpp
+++ b/src/memory_account.cpp
@@ -4,6 +4,8 @@
 #include <numeric>
 #include <utility>
 
+#include "output_limits.h"
+
 namespace worksshift {
 
 namespace {
@@ -18,7 +20,6 @@
 constexpr double idle_servers_share = 0.1;
 /** Share of the account that requests with large bodies may take. */
 constexpr double large_share = 0.75;
-constexpr std::size_t max_output_bytes = std::size_t{32} * 1024 * 1024;
 /** Descriptors that are kept for files, and for the store, other VMs and the other ports; no more
  * than these shares of a small number. */
 constexpr std::size_t file_descriptors = 200;
@@ -36,7 +37,7 @@
     caller_bounds bounds;
     bounds.memory = share_of(machine.memory_bytes, account_share);
     bounds.large_memory = share_of(bounds.memory, large_share);
-    bounds.output = std::min(max_output_bytes, share_of(machine.memory_bytes, output_share));
+    bounds.output = std::min(output_bounds{}.total, share_of(machine.memory_bytes, output_share));
     bounds.internal_connections = std::min(internal_descriptors, machine.descriptors / 8);
     bounds.sockets = machine.descriptors - std::min(file_descriptors, machine.descriptors / 4) -
                      bounds.internal_connections;
@@ -124,6 +125,15 @@
     return order;
 }
 
+void memory_account::write_metrics(std::ostream& out) const
+{
+    for (const memory_use use : memory_uses) {
+        out << "worksshift_caller_memory_bytes{use=\"" << name_of(use) << "\"} " << this->held(use)
+            << '\n';
+    }
+    out << "worksshift_caller_memory_bound_bytes " << this->limits.memory << '\n';
+}
+
 memory_charge::memory_charge(memory_charge&& other) noexcept
     : counters(std::move(other.counters)), use(other.use), bytes(std::exchange(other.bytes, 0))
 {
--- a/src/memory_account.h
+++ b/src/memory_account.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <ostream>
 #include <span>
 #include <string>
 #include <string_view>
@@ -20,10 +21,12 @@
 
 namespace worksshift {
 
+constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
+
 /** What the machine has for this process. */
 struct machine_limits {
     /** The smallest VM of the target size. */
-    std::size_t memory_bytes = std::size_t{160} * 1024 * 1024;
+    std::size_t memory_bytes = 160 * bytes_per_mb;
     std::size_t descriptors = 4096;
 };
 
@@ -132,6 +135,9 @@
     choose_to_refuse(std::span<const partial_request> partial, std::size_t needed,
                      bool only_stalled, instant now);
 
+    /** Writes the bytes held and their bound, a metric a line. */
+    void write_metrics(std::ostream& out) const;
+
 private:
     friend class memory_charge;
 
@@ -167,7 +173,7 @@
 
 /** Body of a caller's request. All attempts and relays of the request share it. */
 struct caller_body {
-    std::vector<char> bytes; ///< a string would double its capacity when it is told to grow
+    std::vector<char> bytes; ///< std::string::reserve may allocate twice what is asked for
     memory_charge charge;    ///< of the body, and of the request's head and state
 
     [[nodiscard]] std::string_view text() const { return {this->bytes.data(), this->bytes.size()}; }
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -513,12 +513,7 @@
     text << "worksshift_requests_active " << this->path.active() << '\n';
     text << "worksshift_attempts_active " << this->connection_pool.active() << '\n';
     text << "worksshift_caller_connections " << this->callers.open_connections() << '\n';
-    for (const memory_use use : memory_uses) {
-        text << "worksshift_caller_memory_bytes{use=\"" << name_of(use) << "\"} "
-             << this->callers.memory_of_callers().held(use) << '\n';
-    }
-    text << "worksshift_caller_memory_bound_bytes "
-         << this->callers.memory_of_callers().bounds().memory << '\n';
+    this->callers.memory_of_callers().write_metrics(text);
     text << "worksshift_caller_connections_bound "
          << this->callers.memory_of_callers().bounds().connections << '\n';
     for (const input_refusal reason : input_refusals) {
--- a/src/router_settings.cpp
+++ b/src/router_settings.cpp
@@ -218,7 +218,6 @@
 constexpr double max_log_lines_per_s = 100000;
 constexpr double min_memory_mb = 32;
 constexpr double max_memory_mb = 1048576;
-constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
 constexpr double min_descriptors = 64;
 constexpr double max_descriptors = 1048576;
 
