Crowd tests share their bodies and the check of sanitizers with the soak

The same bodies, announced or in chunks, were built in both crowd tests and in the soak; they are functions of support/crowd.h now, which send the same bytes. An unused count of statuses is gone. Crowds, bounds and assertions are the same.

--- a/test/crowds/crowds_at_a_gate_fleet.cpp
+++ b/test/crowds/crowds_at_a_gate_fleet.cpp
@@ -21,40 +21,25 @@
 /** Memory of the machine: the process and the bytes that its sockets have not read. */
 constexpr std::size_t machine_memory = 64 * mib;
 constexpr std::size_t max_body = mib;
-constexpr std::size_t piece_size = 64 * kib;
 constexpr std::size_t crowd_size = 120;
 
-#if defined(__SANITIZE_ADDRESS__)
-/** The sanitizer keeps freed memory, so the process's size does not tell what it holds. */
-constexpr bool memory_is_measured = false;
-#else
-constexpr bool memory_is_measured = true;
-#endif
-
 std::string head(const std::string& target, const std::string& more)
 {
     return "POST " + target + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-0\r\n" + more +
            "\r\n";
 }
 
-crowd_script announced_body(const std::string& target, std::size_t missing)
+/** A body of the largest legal size, of which \p missing bytes are not sent. */
+crowd_script largest_body(const std::string& target, std::size_t missing)
 {
-    crowd_script script;
-    script.opening = head(target, "Content-Length: " + std::to_string(max_body) + "\r\n");
-    script.piece = std::string(piece_size, 'x');
-    script.pieces = max_body / piece_size - 1;
-    script.ending = std::string(piece_size - missing, 'x');
-    return script;
+    return announced_body(head(target, "Content-Length: " + std::to_string(max_body) + "\r\n"),
+                          max_body, missing);
 }
 
-/** A body in chunks whose end does not come. */
-crowd_script chunked_body(const std::string& target, std::size_t size)
+/** \p size bytes of a body in chunks, whose end does not come. */
+crowd_script endless_body(const std::string& target, std::size_t size)
 {
-    crowd_script script;
-    script.opening = head(target, "Transfer-Encoding: chunked\r\n");
-    script.piece = "10000\r\n" + std::string(piece_size, 'x') + "\r\n";
-    script.pieces = size / piece_size;
-    return script;
+    return chunked_body(head(target, "Transfer-Encoding: chunked\r\n"), size);
 }
 
 class crowds_at_a_gate_fleet : public CppUnit::TestFixture {
@@ -149,29 +134,29 @@
 
     void announced_bodies_short_of_their_end()
     {
-        this->bear(this->front(), announced_body("/desk/x", 1));
+        this->bear(this->front(), largest_body("/desk/x", 1));
     }
     void bodies_in_chunks_without_an_end()
     {
-        this->bear(this->front(), chunked_body("/desk/x", max_body - piece_size));
+        this->bear(this->front(), endless_body("/desk/x", max_body - piece_size));
     }
     void bodies_in_chunks_far_over_the_limit()
     {
         constexpr std::size_t sent = 32 * mib;
-        this->bear(this->front(), chunked_body("/desk/x", sent));
+        this->bear(this->front(), endless_body("/desk/x", sent));
     }
     void whole_bodies_of_a_plain_service()
     {
-        this->bear(this->front(), announced_body("/desk/x", 0));
+        this->bear(this->front(), largest_body("/desk/x", 0));
     }
     void announced_bodies_at_the_operators_port()
     {
-        this->bear(this->admin(), announced_body("/admin/plans", 1));
+        this->bear(this->admin(), largest_body("/admin/plans", 1));
     }
     void bodies_in_chunks_at_the_operators_port()
     {
         constexpr std::size_t sent = 12 * mib;
-        this->bear(this->admin(), chunked_body("/admin/plans", sent));
+        this->bear(this->admin(), endless_body("/admin/plans", sent));
     }
 };
 
--- a/test/crowds/crowds_at_a_router.cpp
+++ b/test/crowds/crowds_at_a_router.cpp
@@ -28,16 +28,8 @@
 constexpr std::size_t machine_descriptors = 400;
 /** The largest legal body. */
 constexpr std::size_t max_body = mib;
-constexpr std::size_t piece_size = 64 * kib;
 constexpr std::size_t crowd_size = 120;
 
-#if defined(__SANITIZE_ADDRESS__)
-/** The sanitizer keeps freed memory, so the process's size does not tell what it holds. */
-constexpr bool memory_is_measured = false;
-#else
-constexpr bool memory_is_measured = true;
-#endif
-
 std::string config_with_max_body(std::uint64_t version, std::size_t max_body_bytes)
 {
     std::string text = example_config(version);
@@ -68,35 +60,17 @@
 
 constexpr const char* chunked = "Transfer-Encoding: chunked\r\n";
 
-std::string chunk(std::size_t size)
-{
-    std::ostringstream text;
-    text << std::hex << size << "\r\n" << std::string(size, 'x') << "\r\n";
-    return text.str();
-}
-
 /** A body of the largest legal size, of which \p missing bytes are not sent. */
-crowd_script announced_body(const std::string& target, std::size_t missing,
-                            const std::string& more = {})
+crowd_script largest_body(const std::string& target, std::size_t missing,
+                          const std::string& more = {})
 {
-    crowd_script script;
-    script.opening = head(target, with_length(max_body) + more);
-    script.piece = std::string(piece_size, 'x');
-    script.pieces = max_body / piece_size - 1;
-    script.ending = std::string(piece_size - missing, 'x');
-    return script;
+    return announced_body(head(target, with_length(max_body) + more), max_body, missing);
 }
 
 /** A body of nearly the largest legal size in chunks, whose end does not come. */
-crowd_script chunked_body(std::size_t chunk_size)
+crowd_script largest_chunked_body(std::size_t chunk_size)
 {
-    crowd_script script;
-    script.opening = head("/safe/x", chunked);
-    const std::string one = chunk(chunk_size);
-    for (std::size_t size = 0; size < piece_size; size += chunk_size)
-        script.piece += one;
-    script.pieces = max_body / piece_size - 1;
-    return script;
+    return chunked_body(head("/safe/x", chunked), max_body - piece_size, chunk_size);
 }
 
 class crowds_at_a_router : public CppUnit::TestFixture {
@@ -199,7 +173,7 @@
                                      200, status_in(answer));
     }
 
-    /** Whether a request is served that comes back when it is told to. */
+    /** Whether a request is served at the first attempt or a later one. */
     void expect_served_at_last(const std::string& body, const std::string& when)
     {
         std::string answer;
@@ -250,12 +224,8 @@
     /** A body in chunks without an end, in place of a request without a body. */
     static crowd_script endless_body(const std::string& target)
     {
-        crowd_script script;
-        script.opening = head(target, chunked);
-        script.piece = chunk(piece_size);
         constexpr std::size_t sent_bytes = 32 * mib;
-        script.pieces = sent_bytes / piece_size;
-        return script;
+        return chunked_body(head(target, chunked), sent_bytes);
     }
 
 public:
@@ -275,21 +245,21 @@
         this->descriptors.reset();
     }
 
-    void announced_bodies_short_of_their_end() { this->bear(announced_body("/safe/x", 1)); }
-    void whole_bodies_answered_at_once() { this->bear(announced_body("/safe/x", 0)); }
-    void whole_bodies_at_a_silent_server() { this->bear(announced_body("/safe/silent", 0)); }
-    void bodies_in_chunks_without_an_end() { this->bear(chunked_body(piece_size)); }
+    void announced_bodies_short_of_their_end() { this->bear(largest_body("/safe/x", 1)); }
+    void whole_bodies_answered_at_once() { this->bear(largest_body("/safe/x", 0)); }
+    void whole_bodies_at_a_silent_server() { this->bear(largest_body("/safe/silent", 0)); }
+    void bodies_in_chunks_without_an_end() { this->bear(largest_chunked_body(piece_size)); }
 
     void bodies_in_small_chunks_without_an_end()
     {
         constexpr std::size_t small_chunk = 16;
-        this->bear(chunked_body(small_chunk));
+        this->bear(largest_chunked_body(small_chunk));
     }
 
     void bodies_that_end_byte_by_byte()
     {
         constexpr std::size_t bytes_left = 1000;
-        crowd_script script = announced_body("/safe/x", bytes_left);
+        crowd_script script = largest_body("/safe/x", bytes_left);
         script.trickle = milliseconds(100);
         this->bear(script);
     }
@@ -306,13 +276,13 @@
 
     void bodies_sent_without_waiting_to_continue()
     {
-        this->bear(announced_body("/safe/x", 1, "Expect: 100-continue\r\n"));
+        this->bear(largest_body("/safe/x", 1, "Expect: 100-continue\r\n"));
     }
 
     void bodies_behind_a_request_that_waits()
     {
         constexpr std::size_t clients = 500;
-        crowd_script script = announced_body("/safe/x", 0);
+        crowd_script script = largest_body("/safe/x", 0);
         script.opening = head("/safe/silent", with_length(1)) + "x" + script.opening;
         this->bear(script, clients);
     }
@@ -383,7 +353,7 @@
     void bodies_of_a_vm_short_of_their_end()
     {
         this->start(2);
-        crowd_script script = announced_body("/safe/x", 1);
+        crowd_script script = largest_body("/safe/x", 1);
         script.source = this->fleet->front(1).address;
         this->bear(this->fleet->relay(0), script, crowd_size);
     }
@@ -391,7 +361,7 @@
     void bodies_at_the_relay_port_from_elsewhere()
     {
         this->start();
-        this->bear(this->fleet->relay(0), announced_body("/safe/x", 1), crowd_size);
+        this->bear(this->fleet->relay(0), largest_body("/safe/x", 1), crowd_size);
     }
 
     void bear_more_than_descriptors(const crowd_script& script)
@@ -434,7 +404,7 @@
         this->start();
         for (int wave = 0; wave < 4; ++wave) {
             crowd present(this->fleet->base.get(), this->fleet->front(0),
-                          announced_body("/safe/x", wave % 2 == 0 ? 1 : 0), crowd_size);
+                          largest_body("/safe/x", wave % 2 == 0 ? 1 : 0), crowd_size);
             this->run_until([&] { return present.done() == crowd_size; }, seconds(8));
             this->run_for(milliseconds(300));
             present.reset_half();
@@ -449,9 +419,9 @@
     void two_kinds_at_once()
     {
         this->start();
-        const crowd other(this->fleet->base.get(), this->fleet->front(0), chunked_body(piece_size),
-                          crowd_size);
-        this->bear(this->fleet->front(0), announced_body("/safe/silent", 0), crowd_size);
+        const crowd other(this->fleet->base.get(), this->fleet->front(0),
+                          largest_chunked_body(piece_size), crowd_size);
+        this->bear(this->fleet->front(0), largest_body("/safe/silent", 0), crowd_size);
     }
 
     /** The process ends by itself within the grace period. */
@@ -459,9 +429,9 @@
     {
         this->start();
         const crowd unfinished(this->fleet->base.get(), this->fleet->front(0),
-                               announced_body("/safe/x", 1), crowd_size);
+                               largest_body("/safe/x", 1), crowd_size);
         const crowd waiting(this->fleet->base.get(), this->fleet->front(0),
-                            announced_body("/safe/silent", 0), crowd_size);
+                            largest_body("/safe/silent", 0), crowd_size);
         this->run_for(seconds(1));
         this->expect_in_bounds(2 * crowd_size + crowd_size);
         this->fleet->routers[0].signal(SIGTERM);
@@ -482,7 +452,7 @@
         constexpr std::size_t lower = max_body / 4;
         {
             const crowd present(this->fleet->base.get(), this->fleet->front(0),
-                                chunked_body(piece_size), crowd_size);
+                                largest_chunked_body(piece_size), crowd_size);
             this->run_for(milliseconds(200));
             this->fleet->set_config(config_with_max_body(2, lower));
             this->run_for(seconds(1));
--- a/test/error/requests_refused_for_room.cpp
+++ b/test/error/requests_refused_for_room.cpp
@@ -89,7 +89,7 @@
             });
     }
 
-    /** Refused from the head, and told so before it sends the body. */
+    /** Answered from the head, without a 100 Continue. */
     void announced_over_the_limit()
     {
         raw_caller& caller = this->rig->add_caller();
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -307,25 +307,21 @@
  * head. */
 support::crowd_script soak_run::draw_crowd()
 {
-    constexpr std::size_t piece_size = std::size_t{64} * 1024;
-    support::crowd_script script;
-    script.opening =
-        "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: crowd\r\nX-Api-Key: k1\r\n";
+    const std::string head = "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: crowd\r\n"
+                             "X-Api-Key: k1\r\n";
     switch (this->crowd_random() % 3) {
     case 0:
-        script.opening += "Content-Length: " + std::to_string(max_body_bytes) + "\r\n\r\n";
-        script.piece = std::string(piece_size, 'x');
-        break;
+        return support::announced_body(head + "Content-Length: " + std::to_string(max_body_bytes) +
+                                           "\r\n\r\n",
+                                       max_body_bytes, support::piece_size);
     case 1:
-        script.opening += "Transfer-Encoding: chunked\r\n\r\n";
-        script.piece = "10000\r\n" + std::string(piece_size, 'x') + "\r\n";
-        break;
+        return support::chunked_body(head + "Transfer-Encoding: chunked\r\n\r\n",
+                                     max_body_bytes - support::piece_size);
     default:
-        script.opening += "X-Long: " + std::string(1000, 'x');
-        return script;
+        support::crowd_script unfinished_head;
+        unfinished_head.opening = head + "X-Long: " + std::string(1000, 'x');
+        return unfinished_head;
     }
-    script.pieces = max_body_bytes / piece_size - 1;
-    return script;
 }
 
 void soak_run::update_crowd()
@@ -345,19 +341,14 @@
     this->crowd_changes_at = this->now + milliseconds(300 + this->crowd_random() % 1500);
 }
 
-/** Not under sanitizers, which keep freed memory. */
 void soak_run::check_memory(std::size_t router)
 {
-#if !defined(__SANITIZE_ADDRESS__)
-    if (!this->fleet.routers[router].running()) return;
-    constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
-    const std::size_t peak = support::peak_memory(this->fleet.routers[router].id());
+    const support::child& process = this->fleet.routers[router];
+    if (!support::memory_is_measured || !process.running()) return;
+    const std::size_t peak = support::peak_memory(process.id());
     if (peak <= machine_memory_mb * bytes_per_mb) return;
     this->guarantees.broken.push_back("router " + std::to_string(router) + " held " +
                                       std::to_string(peak) + " bytes of memory");
-#else
-    static_cast<void>(router);
-#endif
 }
 
 void soak_run::update_callers()
--- a/test/support/crowd.cpp
+++ b/test/support/crowd.cpp
@@ -24,6 +24,28 @@
 
 } // namespace
 
+crowd_script announced_body(std::string head, std::size_t size, std::size_t missing)
+{
+    crowd_script script;
+    script.opening = std::move(head);
+    script.piece = std::string(piece_size, 'x');
+    script.pieces = size / piece_size - 1;
+    script.ending = std::string(piece_size - missing, 'x');
+    return script;
+}
+
+crowd_script chunked_body(std::string head, std::size_t size, std::size_t chunk_size)
+{
+    std::ostringstream chunk;
+    chunk << std::hex << chunk_size << "\r\n" << std::string(chunk_size, 'x') << "\r\n";
+    crowd_script script;
+    script.opening = std::move(head);
+    for (std::size_t sent = 0; sent < piece_size; sent += chunk_size)
+        script.piece += chunk.str();
+    script.pieces = size / piece_size;
+    return script;
+}
+
 struct crowd::client {
     crowd* owner = nullptr;
     event_ptr<bufferevent> socket;
@@ -31,7 +53,6 @@
     bool all_sent = false;
     bool closed = false;
     std::string received; ///< since the last request
-    int last_status = 0;
 };
 
 crowd::crowd(event_base* base, const link_address& to, crowd_script script, std::size_t count)
@@ -113,7 +134,6 @@
     item.received += read_all(input);
     evbuffer_drain(input, evbuffer_get_length(input));
     if (!item.received.starts_with("HTTP/1.1 ")) return;
-    item.last_status = status_in(item.received);
     if (!this->script.asks_again || !is_complete_response(item.received)) return;
     item.received.clear();
     item.pieces_sent = 0;
@@ -130,12 +150,6 @@
     }));
 }
 
-std::size_t crowd::with_status(int status) const
-{
-    return static_cast<std::size_t>(std::ranges::count_if(
-        this->clients, [&](const auto& item) { return item->last_status == status; }));
-}
-
 void crowd::reset_half()
 {
     for (std::size_t i = 0; i < this->clients.size(); i += 2) {
--- a/test/support/crowd.h
+++ b/test/support/crowd.h
@@ -27,6 +27,14 @@
     std::string source;             ///< local address; empty: the system's choice
 };
 
+/** Size of the pieces in which the bodies below are sent, in bytes. */
+constexpr std::size_t piece_size = std::size_t{64} * 1024;
+/** A body with the announced length \p size, of which the last \p missing bytes, one piece at most,
+ * are not sent. \p head: of the request. */
+crowd_script announced_body(std::string head, std::size_t size, std::size_t missing);
+/** \p size bytes of a body in chunks of \p chunk_size, whose end does not come. */
+crowd_script chunked_body(std::string head, std::size_t size, std::size_t chunk_size = piece_size);
+
 /** Clients on loopback in the test's event loop. All are closed by the destructor. */
 class crowd {
 public:
@@ -41,8 +49,6 @@
     /** Clients that have sent everything, or whose connection the peer has closed. */
     [[nodiscard]] std::size_t done() const;
     [[nodiscard]] std::size_t size() const { return this->clients.size(); }
-    /** Clients with this status in their last response. */
-    [[nodiscard]] std::size_t with_status(int status) const;
     /** Closes the connections of every other client by a reset. */
     void reset_half();
 
@@ -59,6 +65,12 @@
     worksshift::timer trickle;
 };
 
+/** Whether the size of a process tells what it holds: sanitizers keep freed memory. */
+#if defined(__SANITIZE_ADDRESS__)
+constexpr bool memory_is_measured = false;
+#else
+constexpr bool memory_is_measured = true;
+#endif
 /** Peak of a process's resident memory, in bytes; 0 if it has ended. */
 std::size_t peak_memory(pid_t process);
 /** Bytes that sockets at this local address have received and nobody has read. */
