Bounds follow from the system's limit of open files where it is the smaller one

What callers saw: where the system grants the process fewer open files than `max-descriptors` says, 600 clients that keep 400 descriptors busy shut out all others: an ordinary request got no answer in 20 attempts of 10 s. Cause: the bounds of connections came from the setting alone, so that accept() failed long before idle connections were closed and responses announced the close. Evidence: crowds_at_a_router::fewer_descriptors_than_set (setting 4000, limit of the system 400) failed on the code before, and passes now. Why it works: the bounds are those of the smaller number, read at the start and with each reload; the log line max_descriptors_lowered names both.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -58,7 +58,8 @@
            random_process_id()),
       links(base.get(), options.vm, options.link, auth),
       gossip(base.get(), options.link, auth, options.datagram_loss_percent),
-      memory(bounds_of({std::size_t{options.memory_mb} * bytes_per_mb, options.max_descriptors})),
+      memory(bounds_of(granted_limits(
+          {std::size_t{options.memory_mb} * bytes_per_mb, options.max_descriptors}))),
       front(base.get(), options, telemetry, memory),
       calls(base.get(), milliseconds(options.server_idle_ms)), http(base.get()), engines(http),
       platform(base.get(), http, options.platform, options.platform_calls_per_s),
--- a/src/process.cpp
+++ b/src/process.cpp
@@ -6,6 +6,8 @@
 #include <malloc.h>
 #include <sys/resource.h>
 
+#include "log.h"
+
 namespace worksshift {
 
 void raise_file_limit()
@@ -16,6 +18,15 @@
     setrlimit(RLIMIT_NOFILE, &limit);
 }
 
+machine_limits granted_limits(const machine_limits& set)
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_max >= set.descriptors) return set;
+    log_event(log_level::warn, "max_descriptors_lowered",
+              {{"set", set.descriptors}, {"granted", limit.rlim_max}});
+    return {set.memory_bytes, static_cast<std::size_t>(limit.rlim_max)};
+}
+
 void return_large_blocks()
 {
     // Set explicitly, since the allocator raises its own threshold with each large block that is
--- a/src/process.h
+++ b/src/process.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 
 #include "ids.h"
+#include "memory_account.h"
 
 namespace worksshift {
 
@@ -14,6 +15,10 @@
  */
 void raise_file_limit();
 
+/** The limits that are set for the machine, lowered to what the system grants this process. Logs a
+ * lowered one. */
+machine_limits granted_limits(const machine_limits& set);
+
 /** Lets the allocator return large blocks to the system as they are freed, whatever their number.
  * To be called before the first large allocation. */
 void return_large_blocks();
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -81,7 +81,7 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     raise_file_limit();
-    this->callers.set_caller_bounds(bounds_of(this->options.machine));
+    this->callers.set_caller_bounds(bounds_of(granted_limits(this->options.machine)));
     this->callers.other_sockets = [this] {
         return this->connection_pool.open_sockets() + this->vm_connections.open_sockets();
     };
@@ -593,7 +593,7 @@
         this->gossip.add_seeds(reloaded.seeds);
         set_log_level(reloaded.level);
         this->path.set_retry_budget(reloaded.retries);
-        this->callers.set_caller_bounds(bounds_of(reloaded.machine));
+        this->callers.set_caller_bounds(bounds_of(granted_limits(reloaded.machine)));
         this->options.placement = reloaded.placement;
         this->options.cold_request_tolerance = reloaded.cold_request_tolerance;
         this->options.regions = reloaded.regions;
--- a/test/crowds/crowds_at_a_router.cpp
+++ b/test/crowds/crowds_at_a_router.cpp
@@ -96,6 +96,7 @@
     CPPUNIT_TEST(bodies_at_the_relay_port_from_elsewhere);
     CPPUNIT_TEST(more_busy_clients_than_descriptors);
     CPPUNIT_TEST(more_idle_clients_than_descriptors);
+    CPPUNIT_TEST(fewer_descriptors_than_set);
     CPPUNIT_TEST(waves_that_leave_by_reset);
     CPPUNIT_TEST(two_kinds_at_once);
     CPPUNIT_TEST(stop_amid_a_crowd);
@@ -364,13 +365,17 @@
         this->bear(this->fleet->relay(0), largest_body("/safe/x", 1), crowd_size);
     }
 
-    void bear_more_than_descriptors(const crowd_script& script)
+    void bear_more_than_descriptors(const crowd_script& script,
+                                    std::size_t set_descriptors = machine_descriptors)
     {
         constexpr std::size_t clients = 600;
-        this->descriptors = std::make_unique<environment_variable>(
-            "WORKSSHIFT_MAX_DESCRIPTORS", std::to_string(machine_descriptors));
+        this->descriptors = std::make_unique<environment_variable>("WORKSSHIFT_MAX_DESCRIPTORS",
+                                                                   std::to_string(set_descriptors));
         this->start();
         limit_descriptors(this->fleet->routers[0].id(), machine_descriptors);
+        // Reads the settings, and the limit of the system, again.
+        this->fleet->routers[0].signal(SIGHUP);
+        this->run_for(milliseconds(100));
         {
             const crowd present(this->fleet->base.get(), this->fleet->front(0), script, clients);
             this->run_for(seconds(3));
@@ -382,13 +387,21 @@
     }
 
     /** Each sends its next request as soon as the last one is answered. */
-    void more_busy_clients_than_descriptors()
+    static crowd_script busy_client()
     {
         crowd_script script;
         script.opening = head("/safe/x", with_length(1)) + "x";
         script.asks_again = true;
         script.reconnects = true;
-        this->bear_more_than_descriptors(script);
+        return script;
+    }
+
+    void more_busy_clients_than_descriptors() { this->bear_more_than_descriptors(busy_client()); }
+
+    /** The system grants the process less than its settings say. */
+    void fewer_descriptors_than_set()
+    {
+        this->bear_more_than_descriptors(busy_client(), 10 * machine_descriptors);
     }
 
     void more_idle_clients_than_descriptors()
