All memory of responses that callers do not read is counted and bounded

What callers saw: 1,000 clients that ask for 256 KiB and read nothing make a router on a machine of 64 MB hold 119 to 132 MB (its resident memory and what its sockets have not read), so that the process ends. Causes, each measured: - What is held back until a response is complete did not count in the total of output_limits, so the bound per client stayed at 64 KB while all began at once. It counts now (set_held_back). - `buffered_body = {}` keeps the string's memory, 32 to 128 KB for each response that has begun. std::exchange frees it; the same for the target of a refused or discarded head. - A server's bytes wait in the receive buffer of its connection, 57 KB each (57 MB in all). It has 16 KiB now, like that of a caller's connection, and the bound of connections counts both. - libevent's blocks are powers of two, so that a byte of a response takes up to two: the account counts two, and unsent responses may be 0.1 of the memory in place of 0.2. The unread bytes of the crowd tests are those of all sockets of the process now, which is stricter. Ruled out: the allocator's unused blocks (5 of 56 MB at the peak by mallinfo2).

--- a/src/caller_connections.cpp
+++ b/src/caller_connections.cpp
@@ -197,10 +197,7 @@
         reinterpret_cast<const sockaddr*>(&address), sizeof address));
     if (created == nullptr)
         throw user_error("listen", at.address + ":" + std::to_string(at.port), failure);
-    // Connections inherit it. Shrinking the buffer of an accepted one would shrink a window that
-    // its peer knows, which then sends a few bytes at a time.
-    setsockopt(evconnlistener_get_fd(created.get()), SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
-               sizeof receive_buffer_bytes);
+    set_receive_buffer(evconnlistener_get_fd(created.get()), receive_buffer_bytes);
     evconnlistener_set_error_cb(created.get(), [](evconnlistener*, void* self) {
         static_cast<caller_connections*>(self)->pause_accepting("accept_failed",
                                                                 std::strerror(errno));
@@ -446,7 +443,7 @@
                                      const connection_state* asking, instant time)
 {
     std::vector<connection_state*> receiving;
-    std::vector<partial_request> partial;
+    std::vector<memory_holder> partial;
     for (const auto& [id, connection] : this->connections) {
         if (!connection->is_receiving() || connection.get() == asking) continue;
         receiving.push_back(connection.get());
@@ -604,7 +601,7 @@
     const bool no_room = reason == input_refusal::no_memory || reason == input_refusal::no_socket;
     connection.keep_alive = false;
     connection.body.reset();
-    connection.head = {};
+    static_cast<void>(std::exchange(connection.head, http_head()));
     connection.linger = no_room ? no_room_linger_time : linger_time;
     std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
     head.append(reason_phrase(status)).append("\r\n");
@@ -664,6 +661,7 @@
     connection_state* connection = this->find(request);
     if (connection == nullptr) return;
     if (this->closing || this->is_crowded()) connection->keep_alive = false;
+    this->change_output(*connection, connection->output.buffered, 0);
     const std::string text = this->write_head(*connection, head, body.size());
     evbuffer* out = bufferevent_get_output(connection->socket.get());
     evbuffer_add(out, text.data(), text.size());
@@ -693,6 +691,7 @@
     if (connection == nullptr) return;
     if (this->closing || this->is_crowded()) connection->keep_alive = false;
     connection->chunked = true;
+    this->change_output(*connection, connection->output.buffered, 0);
     const std::string text = this->write_head(*connection, head, std::nullopt);
     evbuffer_add(bufferevent_get_output(connection->socket.get()), text.data(), text.size());
     this->add_response_data(request, piece);
@@ -761,10 +760,7 @@
     connection.current_stage = connection_state::stage::closed;
     const std::uint64_t request = std::exchange(connection.request, 0);
     this->set_paused(connection, false, {});
-    this->output.bytes -= connection.output.buffered;
-    if (connection.output.buffered > 0) --this->output.clients;
-    connection.output.buffered = 0;
-    this->output_charge.set(this->output.bytes);
+    this->change_output(connection, 0, 0);
     connection.body.reset();
     bufferevent_disable(connection.socket.get(), EV_READ | EV_WRITE);
     this->dropped.push_back(connection.id);
@@ -795,17 +791,37 @@
     }
 }
 
-/** Updates the counts of buffered bytes after a change of a client's output buffer. */
+/** Updates the counts of buffered bytes. */
+void caller_connections::change_output(connection_state& connection, std::size_t buffered,
+                                       std::size_t held_back)
+{
+    client_output& output = connection.output;
+    const std::size_t before = output.buffered + output.held_back;
+    const std::size_t after = buffered + held_back;
+    output.buffered = buffered;
+    output.held_back = held_back;
+    this->output.bytes += after - before;
+    this->output_charge.set(memory_per_output_byte * this->output.bytes);
+    if (before == 0 && after > 0) ++this->output.clients;
+    if (before > 0 && after == 0) --this->output.clients;
+}
+
+/** Called after a change of a client's output buffer. */
 void caller_connections::track_output(connection_state& connection, const evbuffer_cb_info& change)
 {
     if (connection.current_stage == connection_state::stage::closed) return;
-    const std::size_t before = connection.output.buffered;
-    connection.output.buffered = change.orig_size + change.n_added - change.n_deleted;
-    this->output.bytes += connection.output.buffered - before;
-    this->output_charge.set(this->output.bytes);
-    if (before == 0 && connection.output.buffered > 0) ++this->output.clients;
-    if (before > 0 && connection.output.buffered == 0) --this->output.clients;
-    connection.has_read = connection.has_read || before == 0 || change.n_deleted > 0;
+    const bool was_empty = connection.output.buffered == 0;
+    this->change_output(connection, change.orig_size + change.n_added - change.n_deleted,
+                        connection.output.held_back);
+    connection.has_read = connection.has_read || was_empty || change.n_deleted > 0;
+}
+
+void caller_connections::set_held_back(std::uint64_t request, std::size_t bytes)
+{
+    connection_state* connection = this->find(request);
+    if (connection == nullptr) return;
+    this->change_output(*connection, connection->output.buffered, bytes);
+    this->enforce_total(now());
 }
 
 void caller_connections::set_paused(connection_state& connection, bool paused_now, instant time)
--- a/src/caller_connections.h
+++ b/src/caller_connections.h
@@ -92,6 +92,9 @@
     {
         this->output_rules = output_limits(bounds);
     }
+    /** Counts what the request's response holds back, in bytes, as data that its client has not
+     * accepted yet, until a response begins. */
+    void set_held_back(std::uint64_t request, std::size_t bytes);
     /** Response data that clients have not accepted yet. */
     [[nodiscard]] const output_total& buffered_output() const { return this->output; }
     /** Bytes that one client may have buffered at present. */
@@ -181,6 +184,7 @@
     void check_timeouts(connection_state& connection, instant now);
     void track_output(connection_state& connection, const evbuffer_cb_info& change);
     void check_output(connection_state& connection, instant now);
+    void change_output(connection_state& connection, std::size_t buffered, std::size_t held_back);
     void set_paused(connection_state& connection, bool paused, instant now);
     void close_slow_client(connection_state& connection, slow_client_reason reason, instant now);
     void check_slow_clients(instant now);
--- a/src/event_loop.cpp
+++ b/src/event_loop.cpp
@@ -96,6 +96,11 @@
     setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof value);
 }
 
+void set_receive_buffer(evutil_socket_t socket, int bytes)
+{
+    setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+}
+
 void set_unsent_limit(evutil_socket_t socket, int bytes)
 {
     setsockopt(socket, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &bytes, sizeof bytes);
--- a/src/event_loop.h
+++ b/src/event_loop.h
@@ -73,6 +73,11 @@
  * unreachable. By default, the system would keep the connection for about 15 minutes. */
 void set_unacknowledged_timeout(evutil_socket_t socket, milliseconds span);
 
+/** Limits the bytes that the system receives and nobody has read to about \p bytes. To be called
+ * before the socket connects or listens: a smaller window than the peer knows would make it send a
+ * few bytes at a time. Accepted connections inherit the limit. */
+void set_receive_buffer(evutil_socket_t socket, int bytes);
+
 /** Limits the bytes that the system accepts beyond those that may be in flight to the peer. */
 void set_unsent_limit(evutil_socket_t socket, int bytes);
 
--- a/src/http_listener.cpp
+++ b/src/http_listener.cpp
@@ -65,8 +65,7 @@
         throw user_error("listen", at.address + ":" + std::to_string(at.port),
                          "the listen address for " + this->purpose + " cannot be bound");
     }
-    setsockopt(evhttp_bound_socket_get_fd(this->socket), SOL_SOCKET, SO_RCVBUF,
-               &receive_buffer_bytes, sizeof receive_buffer_bytes);
+    set_receive_buffer(evhttp_bound_socket_get_fd(this->socket), receive_buffer_bytes);
 }
 
 http_listener::~http_listener()
@@ -171,11 +170,11 @@
     }
     for (const bool only_stalled : {true, false}) {
         if (!this->memory.exceeded()) return;
-        std::vector<partial_request> partial;
+        std::vector<memory_holder> partial;
         std::ranges::transform(
             open, std::back_inserter(partial), [time](const connection_state* item) {
-                return partial_request{item->receiving && !item->closing ? item->charge.size() : 0,
-                                       item->progress.unchanged_since(time)};
+                return memory_holder{item->receiving && !item->closing ? item->charge.size() : 0,
+                                     item->progress.unchanged_since(time)};
             });
         for (const std::size_t index : memory_account::choose_to_refuse(
                  partial, this->memory.missing(0, false), only_stalled, time))
--- a/src/http_wire.cpp
+++ b/src/http_wire.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdio>
 #include <limits>
+#include <utility>
 
 #include <strings.h>
 
@@ -116,7 +117,8 @@
     http_parser_init(&this->parser,
                      this->reader_side == message_kind::requests ? HTTP_REQUEST : HTTP_RESPONSE);
     this->parser.data = this;
-    this->head = http_head{};
+    // An assignment of an empty head would keep the memory of its target.
+    static_cast<void>(std::exchange(this->head, http_head()));
     this->head_bytes = 0;
     this->oversized = false;
     this->last_was_value = false;
--- a/src/live_request.h
+++ b/src/live_request.h
@@ -23,7 +23,7 @@
     http_head head;
     caller_body_ptr body;       ///< nullptr once the request has ended or its body was released
     bool body_released = false; ///< for lack of memory, so that it cannot be sent again
-    memory_charge charge;       ///< of the metadata and of the response data that is held back
+    memory_charge charge;       ///< of the metadata
     request_metadata metadata;
     /** The configuration at admission. Keeps `matched_route` and `account_regions` valid. */
     router_config_ptr config;
--- a/src/memory_account.cpp
+++ b/src/memory_account.cpp
@@ -14,7 +14,7 @@
  * the allocator cannot use. */
 constexpr double account_share = 0.4;
 constexpr double unread_share = 0.25;
-constexpr double output_share = 0.2;
+constexpr double output_share = 0.1;
 /** Shares of the sockets. */
 constexpr double connections_share = 0.4;
 constexpr double idle_servers_share = 0.1;
@@ -43,7 +43,7 @@
                      bounds.internal_connections;
     // Each request in progress takes a connection to a server, too, and some of these are idle.
     bounds.connections = std::min(share_of(machine.memory_bytes, unread_share) /
-                                      static_cast<std::size_t>(receive_buffer_bytes),
+                                      static_cast<std::size_t>(2 * receive_buffer_bytes),
                                   share_of(bounds.sockets, connections_share));
     bounds.idle_server_connections = share_of(bounds.sockets, idle_servers_share);
     return bounds;
@@ -100,14 +100,14 @@
     held_for_use = held_for_use - before + after;
 }
 
-std::vector<std::size_t> memory_account::choose_to_refuse(std::span<const partial_request> partial,
+std::vector<std::size_t> memory_account::choose_to_refuse(std::span<const memory_holder> partial,
                                                           std::size_t needed, bool only_stalled,
                                                           instant now)
 {
     std::vector<std::size_t> order(partial.size());
     std::iota(order.begin(), order.end(), std::size_t{0});
     std::erase_if(order, [&](std::size_t index) {
-        const partial_request& item = partial[index];
+        const memory_holder& item = partial[index];
         return item.bytes == 0 || (only_stalled && now - item.progress_at < stalled_after);
     });
     const auto byte_seconds = [&](std::size_t index) {
--- a/src/memory_account.h
+++ b/src/memory_account.h
@@ -46,14 +46,17 @@
 
 /** A request counts as large from this many bytes of its body. */
 constexpr std::size_t large_body_bytes = std::size_t{64} * 1024;
-/** Size of the system's receive buffer of a caller's connection: the bytes that can wait unread. 18
- * Mbit/s with a round trip of 7 ms. */
+/** Size of the system's receive buffer of a connection of a caller or to a server: the bytes that
+ * can wait unread. 18 Mbit/s with a round trip of 7 ms. */
 constexpr int receive_buffer_bytes = 16 * 1024;
 /** Memory that an open connection takes without input or output. */
 constexpr std::size_t connection_bytes = std::size_t{4} * 1024;
 /** Memory that a request in progress takes besides its head and body: its state and that of the
  * connection to its server. */
 constexpr std::size_t request_bytes = std::size_t{16} * 1024;
+/** Memory that a byte of response data takes: the blocks of libevent's buffers are powers of two.
+ */
+constexpr std::size_t memory_per_output_byte = 2;
 /** A request that is not received in full has made no progress if fewer than `progress_bytes` came
  * in this time. */
 constexpr duration stalled_after = milliseconds(500);
@@ -73,8 +76,8 @@
                                  memory_use::response};
 std::string_view name_of(memory_use use);
 
-/** A request that is not received in full. */
-struct partial_request {
+/** A request that is not received in full, or whose response its caller does not read. */
+struct memory_holder {
     std::size_t bytes = 0; ///< that it holds
     instant progress_at{}; ///< when it last made progress, or began
 };
@@ -132,8 +135,8 @@
      * \p partial: those first that have held most bytes for the longest time without progress.
      * \p only_stalled: none that has made progress lately. May free less than needed. */
     [[nodiscard]] static std::vector<std::size_t>
-    choose_to_refuse(std::span<const partial_request> partial, std::size_t needed,
-                     bool only_stalled, instant now);
+    choose_to_refuse(std::span<const memory_holder> partial, std::size_t needed, bool only_stalled,
+                     instant now);
 
     /** Writes the bytes held and their bound, a metric a line. */
     void write_metrics(std::ostream& out) const;
--- a/src/output_limits.h
+++ b/src/output_limits.h
@@ -49,6 +49,8 @@
     bool paused = false;      ///< its server is not being read
     instant paused_since{};
     instant read_at{}; ///< when the client last read, or when the first byte was buffered
+    /** Bytes of a response that is sent to the client once it is complete or too large for that. */
+    std::size_t held_back = 0;
 };
 
 /** What is buffered for all clients. */
@@ -62,7 +64,7 @@
 /** Why a client's connection is closed. */
 enum class slow_client_reason : std::uint8_t {
     unread, ///< it read nothing for too long
-    memory  ///< the total bound is exceeded, and it has read nothing for the longest time
+    memory  ///< it has read nothing for the longest time, and others need its memory
 };
 
 constexpr std::string_view name_of(slow_client_reason reason)
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -135,12 +135,11 @@
     }
 }
 
-/** Counts what the request holds besides its head and body. */
+/** Counts what the request holds besides its head, its body and the response. */
 void request_path::update_charge(live_request& request)
 {
     request.charge.set((request.body_released ? request_bytes : 0) +
-                       request.metadata.prompt.capacity() * sizeof(prompt_part) +
-                       request.buffered_body.capacity());
+                       request.metadata.prompt.capacity() * sizeof(prompt_part));
 }
 
 void request_path::begin(live_request& request)
@@ -459,7 +458,8 @@
         request.response_head = head;
         this->add_relay_headers(request, request.response_head);
     }
-    request.buffered_body.clear();
+    static_cast<void>(std::exchange(request.buffered_body, std::string()));
+    this->callers.set_held_back(request.id, 0);
     request.events.resume();
     request.cannot_resume = request.response_begun && !request.streaming;
 }
@@ -513,7 +513,7 @@
             return;
         }
         request.buffered_body.append(bytes);
-        update_charge(request);
+        this->callers.set_held_back(request.id, request.buffered_body.capacity());
         // Less is held back while many clients read slowly.
         const std::size_t limit =
             std::min(max_buffered_response_bytes, this->callers.client_bound());
@@ -521,9 +521,9 @@
             request.buffered_body.size() > limit && may_be_forwarded(request);
         if (!begin_forwarding) return;
         request.response_begun = true;
-        this->callers.begin_response(request.id, request.response_head, request.buffered_body);
-        request.buffered_body = {};
-        update_charge(request);
+        // An assignment of an empty string would keep the memory.
+        const std::string held_back = std::exchange(request.buffered_body, std::string());
+        this->callers.begin_response(request.id, request.response_head, held_back);
         return;
     }
     const std::string_view events = request.events.filter(bytes);
--- a/src/server_connections.cpp
+++ b/src/server_connections.cpp
@@ -152,6 +152,8 @@
     connection->socket.reset(bufferevent_socket_new(this->base, socket, BEV_OPT_CLOSE_ON_FREE));
     if (socket >= 0) {
         set_no_delay(socket);
+        // The bytes that wait while a caller does not read its response.
+        set_receive_buffer(socket, receive_buffer_bytes);
         set_unacknowledged_timeout(socket, unacknowledged_timeout);
         // After the whole request was acknowledged, only unanswered keep-alive probes reveal
         // that a server has become unreachable.
--- a/test/crowds/crowds_at_a_router.cpp
+++ b/test/crowds/crowds_at_a_router.cpp
@@ -29,6 +29,8 @@
 /** The largest legal body. */
 constexpr std::size_t max_body = mib;
 constexpr std::size_t crowd_size = 120;
+/** More than all buffers of one response. */
+constexpr std::size_t large_response = 256 * kib;
 
 std::string config_with_max_body(std::uint64_t version, std::size_t max_body_bytes)
 {
@@ -97,6 +99,7 @@
     CPPUNIT_TEST(more_busy_clients_than_descriptors);
     CPPUNIT_TEST(more_idle_clients_than_descriptors);
     CPPUNIT_TEST(fewer_descriptors_than_set);
+    CPPUNIT_TEST(responses_that_are_not_read);
     CPPUNIT_TEST(waves_that_leave_by_reset);
     CPPUNIT_TEST(two_kinds_at_once);
     CPPUNIT_TEST(stop_amid_a_crowd);
@@ -114,9 +117,9 @@
     {
         const instant time = std::chrono::steady_clock::now();
         if (time < this->next_sample) return;
-        const std::size_t unread = unread_bytes(this->fleet->front(0).address);
-        this->most_held =
-            std::max(this->most_held, peak_memory(this->fleet->routers[0].id()) + unread);
+        const pid_t process = this->fleet->routers[0].id();
+        const std::size_t unread = unread_bytes(this->fleet->front(0).address, process);
+        this->most_held = std::max(this->most_held, peak_memory(process) + unread);
         // The list of sockets is that of the whole machine. The servers of the test run in the same
         // loop, so the samples may take a small part of its time only.
         const instant end = std::chrono::steady_clock::now();
@@ -144,6 +147,8 @@
         this->fleet->set_config(config_with_max_body(1, max_body));
         const auto answer = [](const std::string& request) -> scripted_response {
             if (request.find(" /safe/silent") != std::string::npos) return {"", then::stay_silent};
+            if (request.find(" /safe/large") != std::string::npos)
+                return {response_text(200, request, std::string(large_response, 'y')), then::keep};
             return {response_text(200, request, "answer"), then::keep};
         };
         for (const char* id : {"a", "b"})
@@ -411,6 +416,17 @@
         this->bear_more_than_descriptors(script);
     }
 
+    /** What the servers have sent and the router does not read, waits in the system's buffers. */
+    void responses_that_are_not_read()
+    {
+        constexpr std::size_t clients = 1000;
+        crowd_script script;
+        script.opening = head("/safe/large", with_length(1)) + "x";
+        script.reads = false;
+        script.receive_buffer = 4 * kib;
+        this->bear(script, clients);
+    }
+
     /** What one wave leaves behind must not add up. */
     void waves_that_leave_by_reset()
     {
--- a/test/error/memory_account_decides.cpp
+++ b/test/error/memory_account_decides.cpp
@@ -34,8 +34,9 @@
         for (const std::size_t memory_mb : {64, 160, 260, 1024}) {
             const machine_limits machine{memory_mb * mib, 4100};
             const caller_bounds bounds = bounds_of(machine);
+            // Of each caller's connection, and of that to the server of its request.
             const std::size_t unread =
-                bounds.connections * static_cast<std::size_t>(receive_buffer_bytes);
+                bounds.connections * 2 * static_cast<std::size_t>(receive_buffer_bytes);
             CPPUNIT_ASSERT(bounds.memory + unread + machine.memory_bytes / 4 <=
                            machine.memory_bytes);
             CPPUNIT_ASSERT(bounds.output < bounds.memory);
@@ -86,7 +87,7 @@
 
     void stalled_requests_are_refused_by_size_and_time()
     {
-        const std::vector<partial_request> partial{
+        const std::vector<memory_holder> partial{
             {4 * mib, start},                // largest, but progressing
             {1 * mib, start - seconds(2)},   // 2 MiB s
             {2 * mib, start - seconds(3)},   // 6 MiB s
--- a/test/fuzz/memory_account_matches_holdings.cpp
+++ b/test/fuzz/memory_account_matches_holdings.cpp
@@ -121,7 +121,7 @@
         const bool large = bytes >= large_body_bytes;
         if (this->account.has_room(bytes, large)) return true;
         std::vector<std::uint64_t> ids;
-        std::vector<partial_request> partial;
+        std::vector<memory_holder> partial;
         for (const auto& [id, item] : this->requests) {
             if (item.complete) continue;
             ids.push_back(id);
--- a/test/support/crowd.cpp
+++ b/test/support/crowd.cpp
@@ -4,8 +4,10 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <sstream>
 #include <stdexcept>
+#include <system_error>
 
 #include <arpa/inet.h>
 #include <sys/resource.h>
@@ -22,6 +24,22 @@
 /** Bytes that are handed to a client's connection at once. */
 constexpr std::size_t refill_bytes = std::size_t{256} * 1024;
 
+/** Inodes of the sockets that a process has open. */
+std::set<std::string> socket_inodes(pid_t process)
+{
+    std::set<std::string> inodes;
+    constexpr std::string_view prefix = "socket:[";
+    for (const auto& entry :
+         std::filesystem::directory_iterator("/proc/" + std::to_string(process) + "/fd")) {
+        // A descriptor may be closed in the meantime.
+        std::error_code closed;
+        const std::string target = std::filesystem::read_symlink(entry.path(), closed).string();
+        if (target.starts_with(prefix))
+            inodes.insert(target.substr(prefix.size(), target.size() - prefix.size() - 1));
+    }
+    return inodes;
+}
+
 } // namespace
 
 crowd_script announced_body(std::string head, std::size_t size, std::size_t missing)
@@ -105,9 +123,12 @@
         static_cast<void>(
             ::bind(descriptor, reinterpret_cast<const sockaddr*>(&from), sizeof from));
     }
+    if (const int size = this->script.receive_buffer; size > 0)
+        setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
     bufferevent_setfd(item.socket.get(), descriptor);
     const sockaddr_in address = to_socket_address(this->to);
-    bufferevent_enable(item.socket.get(), EV_READ | EV_WRITE);
+    bufferevent_enable(item.socket.get(), EV_WRITE);
+    if (this->script.reads) bufferevent_enable(item.socket.get(), EV_READ);
     bufferevent_write(item.socket.get(), this->script.opening.data(), this->script.opening.size());
     bufferevent_socket_connect(item.socket.get(), reinterpret_cast<const sockaddr*>(&address),
                                sizeof address);
@@ -174,10 +195,12 @@
     return 0;
 }
 
-std::size_t unread_bytes(const std::string& address)
+std::size_t unread_bytes(const std::string& address, std::optional<pid_t> process)
 {
     in_addr wanted{};
     inet_pton(AF_INET, address.c_str(), &wanted);
+    const std::set<std::string> inodes =
+        process ? socket_inodes(*process) : std::set<std::string>();
     std::size_t sum = 0;
     std::ifstream file("/proc/net/tcp");
     std::string line;
@@ -189,12 +212,19 @@
         std::string remote;
         std::string state;
         std::string queues;
-        fields >> slot >> local >> remote >> state >> queues;
+        std::string timer;
+        std::string retransmissions;
+        std::string user;
+        std::string timeout;
+        std::string inode;
+        fields >> slot >> local >> remote >> state >> queues >> timer >> retransmissions >> user >>
+            timeout >> inode;
         constexpr int hexadecimal = 16;
         // The queue of a listener counts connections.
         constexpr std::string_view listening = "0A";
         const bool matches =
-            std::stoul(local.substr(0, local.find(':')), nullptr, hexadecimal) == wanted.s_addr;
+            std::stoul(local.substr(0, local.find(':')), nullptr, hexadecimal) == wanted.s_addr ||
+            inodes.contains(inode);
         if (matches && state != listening)
             sum += std::stoul(queues.substr(queues.find(':') + 1), nullptr, hexadecimal);
     }
--- a/test/support/crowd.h
+++ b/test/support/crowd.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,8 @@
     worksshift::duration trickle{}; ///< interval of further single bytes; zero: none
     bool asks_again = false;        ///< sends everything again after each response
     bool reconnects = false;        ///< opens a new connection when the peer closes one
+    bool reads = true;              ///< otherwise it leaves the responses unread
+    int receive_buffer = 0;         ///< of the system, in bytes; 0: the system's choice
     std::string source;             ///< local address; empty: the system's choice
 };
 
@@ -73,8 +76,9 @@
 #endif
 /** Peak of a process's resident memory, in bytes; 0 if it has ended. */
 std::size_t peak_memory(pid_t process);
-/** Bytes that sockets at this local address have received and nobody has read. */
-std::size_t unread_bytes(const std::string& address);
+/** Bytes that have been received and not read by the sockets at this local address, accepted or
+ * not, and by all other sockets of \p process, if one is given. */
+std::size_t unread_bytes(const std::string& address, std::optional<pid_t> process = std::nullopt);
 /** Open descriptors of a process. */
 std::size_t open_descriptors(pid_t process);
 /** Sets the limit of open descriptors of a process. */
