Unread responses make room for other requests

What callers saw: 503, "no memory for the request", for as long as callers that read nothing held the whole account, two seconds for each of them. Cause: only requests that were not received in full, and bodies that need not be sent again, made room. Change: when these make no room, callers whose response has waited unread for half a second are closed, those first that have held most for longest; so they are when the account is over its bound, before requests that make progress. Evidence: requests_refused_for_room::unread_responses_make_room fails without it (503) and passes with it.

--- a/src/caller_connections.cpp
+++ b/src/caller_connections.cpp
@@ -433,6 +433,8 @@
     this->free_memory(this->memory.missing(bytes, large), true, asking, time);
     if (const std::size_t missing = this->memory.missing(bytes, large); missing > 0)
         this->release_bodies(missing);
+    if (const std::size_t missing = this->memory.missing(bytes, large); missing > 0)
+        this->close_unread(missing, asking, time);
     if (this->memory.has_room(bytes, large)) return true;
     this->partial_checked_at = time;
     return false;
@@ -455,6 +457,38 @@
     }
 }
 
+/** Frees memory while the account exceeds its bound: heads and responses grow without asking. */
+void caller_connections::enforce_account(instant time)
+{
+    for (const bool only_stalled : {true, false}) {
+        if (!this->memory.exceeded()) return;
+        this->free_memory(this->memory.missing(0, false), only_stalled, nullptr, time);
+        if (only_stalled && this->memory.exceeded())
+            this->close_unread(this->memory.missing(0, false), nullptr, time);
+    }
+}
+
+/** Closes connections whose clients have not read their responses for a while, so that \p needed
+ * bytes become free. */
+void caller_connections::close_unread(std::size_t needed, const connection_state* asking,
+                                      instant time)
+{
+    std::vector<connection_state*> unread;
+    std::vector<memory_holder> holders;
+    for (const auto& [id, connection] : this->connections) {
+        if (std::exchange(connection->has_read, false)) connection->output.read_at = time;
+        if (connection->output.buffered == 0 || connection.get() == asking) continue;
+        unread.push_back(connection.get());
+        const std::size_t request = connection->request == 0 ? 0 : request_bytes;
+        holders.push_back({request + memory_per_output_byte * connection->output.buffered,
+                           connection->output.read_at});
+    }
+    constexpr bool only_stalled = true;
+    for (const std::size_t index :
+         memory_account::choose_to_refuse(holders, needed, only_stalled, time))
+        this->close_slow_client(*unread[index], slow_client_reason::memory, time);
+}
+
 /** Refuses a request that is not received in full. Must not be called while the connection is being
  * read. */
 void caller_connections::refuse_partial(connection_state& connection, input_refusal reason,
@@ -516,10 +550,7 @@
         return;
     }
     this->update_charge(connection);
-    for (const bool only_stalled : {true, false}) {
-        if (!this->memory.exceeded()) return;
-        this->free_memory(this->memory.missing(0, false), only_stalled, nullptr, this->read_at);
-    }
+    this->enforce_account(this->read_at);
 }
 
 void caller_connections::deliver_request(connection_state& connection)
--- a/src/caller_connections.h
+++ b/src/caller_connections.h
@@ -174,6 +174,8 @@
                                  instant now);
     void free_memory(std::size_t needed, bool only_stalled, const connection_state* asking,
                      instant now);
+    void enforce_account(instant now);
+    void close_unread(std::size_t needed, const connection_state* asking, instant now);
     void refuse_partial(connection_state& connection, input_refusal reason, std::string_view text);
     [[nodiscard]] bool grow_body(connection_state& connection, std::size_t size);
     static void free_input(connection_state& connection);
--- a/test/error/requests_refused_for_room.cpp
+++ b/test/error/requests_refused_for_room.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(relayed_without_room);
     CPPUNIT_TEST(small_request_beside_large_ones);
     CPPUNIT_TEST(stalled_request_makes_room);
+    CPPUNIT_TEST(unread_responses_make_room);
     CPPUNIT_TEST(slow_request_is_served_in_calm);
     CPPUNIT_TEST(released_body_is_not_sent_again);
     CPPUNIT_TEST(nothing_is_held_in_the_end);
@@ -171,6 +172,34 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->desk->requests.size());
     }
 
+    /** Callers that do not read their responses do not shut out others. */
+    void unread_responses_make_room()
+    {
+        caller_bounds bounds = bounds_of({});
+        bounds.memory = 256 * kib;
+        this->rig->callers->set_caller_bounds(bounds);
+        this->desk->answer = [](const std::string& request) -> scripted_response {
+            const bool large = request.find(" /safe/") != std::string::npos;
+            const std::string body = large ? std::string(4 * mib, 'x') : "answer";
+            return {response_text(200, request, body), then::keep};
+        };
+        for (const char* id : {"1", "2"}) {
+            constexpr int small_receive_buffer = 4096;
+            raw_caller& unread = this->rig->add_caller(small_receive_buffer);
+            unread.send(request_text("GET", "/safe/x", id));
+            unread.set_reading(false);
+        }
+        CPPUNIT_ASSERT(this->rig->run_until(
+            [&] { return this->rig->callers->memory_of_callers().exceeded(); }));
+        this->rig->run_for(stalled_after + milliseconds(100));
+        raw_caller& other = this->rig->add_caller();
+        other.send(request_text("POST", "/unsafe/x", "3", "x"));
+        CPPUNIT_ASSERT(this->answered(other));
+        CPPUNIT_ASSERT_MESSAGE(other.received, has_status(other, 200));
+        CPPUNIT_ASSERT(this->rig->callers->slow_clients_closed(slow_client_reason::memory) > 0);
+        CPPUNIT_ASSERT(!this->rig->callers->memory_of_callers().exceeded());
+    }
+
     void slow_request_is_served_in_calm()
     {
         raw_caller& caller = this->rig->add_caller();
