--- a/src/event_loop.cpp
+++ b/src/event_loop.cpp
@@ -1,11 +1,24 @@
 #include "event_loop.h"
 
+#include <cerrno>
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace worksshift {
 
+namespace {
+
+/** The result of recv() for one byte, which stays unread. */
+ssize_t peek(evutil_socket_t socket)
+{
+    char next = 0;
+    return ::recv(socket, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+}
+
+} // namespace
+
 timeval to_timeval(duration span)
 {
     const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(span).count();
@@ -101,6 +114,17 @@
     setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
 }
 
+bool at_end_of_input(evutil_socket_t socket)
+{
+    const ssize_t size = peek(socket);
+    return size == 0 || (size < 0 && errno == ECONNRESET);
+}
+
+bool has_unread_input(evutil_socket_t socket)
+{
+    return peek(socket) > 0;
+}
+
 void set_unsent_limit(evutil_socket_t socket, int bytes)
 {
     setsockopt(socket, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &bytes, sizeof bytes);
--- a/src/event_loop.h
+++ b/src/event_loop.h
@@ -78,6 +78,12 @@
  * few bytes at a time. Accepted connections inherit the limit. */
 void set_receive_buffer(evutil_socket_t socket, int bytes);
 
+/** Whether the peer has closed the connection and all its bytes have been read. */
+bool at_end_of_input(evutil_socket_t socket);
+
+/** Whether the system holds bytes that were not read yet. */
+bool has_unread_input(evutil_socket_t socket);
+
 /** Limits the bytes that the system accepts beyond those that may be in flight to the peer. */
 void set_unsent_limit(evutil_socket_t socket, int bytes);
 
