Load sums of VMs that no longer aggregate are forgotten

What callers saw: nothing in the tests with callers; VMs counted more load at servers than there was, for as long as the fleet ran, and used less of them. Cause: a VM that aggregates loads of its data centre for others, and then no longer does, goes on sending digests without sums. Each of them renewed the sums that it had sent before. So the sums of killed VMs stayed, forwarded to the whole data centre; and when a fleet of 13 or 14 VMs lost two, so that all its VMs report to each other (12 and fewer), the old sums counted beside the VMs' own loads: up to twice the true load. New: sums_of_former_aggregators_are_forgotten and loads_in_a_fleet_that_becomes_small, red on the code before. Why it works: each table of another VM has the time of its own last part, and sums older than the limit do not count.

--- a/src/fleet_digest.h
+++ b/src/fleet_digest.h
@@ -37,6 +37,8 @@
     std::uint8_t parts = 0; ///< 0: only the listed servers are covered
     std::vector<load_entry> entries;
 
+    /** Whether the digest carries no part of the table. */
+    [[nodiscard]] bool empty() const { return this->parts == 0 && this->entries.empty(); }
     [[nodiscard]] bool covers(std::uint32_t server) const
     {
         return this->parts > 0 && server % this->parts == this->part;
--- a/src/fleet_table.cpp
+++ b/src/fleet_table.cpp
@@ -115,9 +115,9 @@
         this->record_vm(report.address, report.data_centre, now - report.age * age_unit, now);
     for (const store_reader_report& report : digest.store_readers)
         this->apply_report(report, now);
-    vm.own_loads.apply(std::exchange(digest.own_loads, {}));
-    vm.centre_loads.apply(std::exchange(digest.centre_loads, {}));
-    vm.remote_loads.apply(std::exchange(digest.remote_loads, {}));
+    vm.own_loads.apply(std::exchange(digest.own_loads, {}), now);
+    vm.centre_loads.apply(std::exchange(digest.centre_loads, {}), now);
+    vm.remote_loads.apply(std::exchange(digest.remote_loads, {}), now);
     if (!digest.joining && this->informed_at == instant{}) this->informed_at = now;
     vm.last = std::move(digest);
     this->update_share(now);
--- a/src/load_exchange.cpp
+++ b/src/load_exchange.cpp
@@ -95,14 +95,21 @@
     return sums;
 }
 
+/** Whether the sums are those of a VM that aggregates at present. One that no longer does goes on
+ * sending digests without sums. */
+bool load_exchange::is_current(const load_replica& sums, instant now) const
+{
+    const duration limit = std::max<duration>(remote_sums_timeout, this->period * 3);
+    return now - sums.updated_at() <= limit;
+}
+
 /** Requests from the other data centres, as their aggregators reported them to this VM. The
  * aggregators of a slice report the same load at different times, so the larger value counts. */
 load_table load_exchange::remote_sums(instant now) const
 {
-    const duration limit = std::max<duration>(remote_sums_timeout, this->period * 3);
     std::map<std::uint32_t, load_table> by_centre;
     for (const auto& [address, vm] : this->fleet.vms()) {
-        if (this->fleet.is_local(vm) || now - vm.last_received_at > limit) continue;
+        if (this->fleet.is_local(vm) || !this->is_current(vm.centre_loads, now)) continue;
         load_table& centre = by_centre[vm.data_centre];
         centre = merge_by_max(centre, vm.centre_loads.entries());
     }
@@ -164,7 +171,8 @@
     load_table sums;
     for (const fleet_vm* vm : this->fleet.local_vms(now)) {
         append(sums, vm->own_loads.entries());
-        remote_all = merge_by_max(remote_all, vm->remote_loads.entries());
+        if (this->is_current(vm->remote_loads, now))
+            remote_all = merge_by_max(remote_all, vm->remote_loads.entries());
     }
     append(sums, remote_all);
     normalize(sums);
--- a/src/load_exchange.h
+++ b/src/load_exchange.h
@@ -22,8 +22,8 @@
 constexpr std::size_t max_slices = 16;
 /** Aggregators of each slice in each data centre. */
 constexpr std::size_t aggregators_per_slice = 2;
-/** Sums from another data centre are ignored when they are older than both this and three periods.
- */
+/** Sums of another data centre are ignored when they are older than both this and three periods,
+ * also if an aggregator of the own data centre forwards them. */
 constexpr duration remote_sums_timeout = seconds(2);
 
 /** Load sums to be sent to one VM of another data centre. */
@@ -55,6 +55,7 @@
 private:
     [[nodiscard]] std::size_t slice_of(std::uint32_t server) const;
     [[nodiscard]] load_table centre_sums(instant now) const;
+    [[nodiscard]] bool is_current(const load_replica& sums, instant now) const;
     [[nodiscard]] load_table remote_sums(instant now) const;
     void choose_aggregators(instant now);
 
--- a/src/load_tables.cpp
+++ b/src/load_tables.cpp
@@ -46,8 +46,10 @@
     return message;
 }
 
-void load_replica::apply(const load_part& part)
+void load_replica::apply(const load_part& part, instant now)
 {
+    if (part.empty()) return;
+    this->last_update = now;
     std::erase_if(this->table, [&](const load_entry& entry) {
         const auto listed = std::ranges::find(part.entries, entry.server, &load_entry::server);
         return part.covers(entry.server) || listed != part.entries.end();
--- a/src/load_tables.h
+++ b/src/load_tables.h
@@ -44,11 +44,15 @@
 /** Copy of another VM's table, assembled from the parts received. */
 class load_replica {
 public:
-    void apply(const load_part& part);
+    /** Does nothing if the digest carried no part of the table. */
+    void apply(const load_part& part, instant now);
     [[nodiscard]] std::span<const load_entry> entries() const { return this->table; }
+    /** When the last part arrived; the epoch: never. */
+    [[nodiscard]] instant updated_at() const { return this->last_update; }
 
 private:
     load_table table;
+    instant last_update{};
 };
 
 } // namespace worksshift
--- a/test/fuzz/digests_reach_every_vm.cpp
+++ b/test/fuzz/digests_reach_every_vm.cpp
@@ -54,11 +54,13 @@
     CPPUNIT_TEST_SUITE(digests_reach_every_vm);
     CPPUNIT_TEST(loads);
     CPPUNIT_TEST(loads_after_kills);
+    CPPUNIT_TEST(loads_in_a_fleet_that_becomes_small);
     CPPUNIT_TEST(few_vms_watch_the_store);
     CPPUNIT_TEST(few_vms_take_over_from_watchers_that_leave);
     CPPUNIT_TEST(other_vms_watch_when_the_store_refuses_watchers);
     CPPUNIT_TEST(seeds_can_be_added);
     CPPUNIT_TEST(new_incarnation_starts_without_loads);
+    CPPUNIT_TEST(sums_of_former_aggregators_are_forgotten);
     CPPUNIT_TEST(digest_is_unchanged_by_encoding);
     CPPUNIT_TEST(notices_are_told_apart_from_digests);
     CPPUNIT_TEST(store_readers_that_stop_are_not_reported_again);
@@ -109,6 +111,21 @@
         CPPUNIT_ASSERT(held);
     }
 
+    /** Guards against loads that count twice: from aggregators, and from the VMs themselves, which
+     * all report to each other once the fleet is small. */
+    static void loads_in_a_fleet_that_becomes_small()
+    {
+        constexpr std::size_t killed = 2;
+        digest_fleet fleet(max_small_fleet_vms + killed, 2, 1);
+        for (auto& [vm, item] : fleet.vms)
+            item.loads = {{1, 2}, {static_cast<std::uint32_t>(2 + vm), 1}};
+        fleet.run(seconds(8));
+        for (std::size_t vm = 0; vm < killed; ++vm)
+            fleet.kill(vm);
+        fleet.run(dead_vm_retention + seconds(10));
+        CPPUNIT_ASSERT(all_have_true_loads(fleet));
+    }
+
     /** Guards against too many VMs that watch the store, or none. */
     static void few_vms_watch_the_store()
     {
@@ -227,6 +244,41 @@
         CPPUNIT_ASSERT_EQUAL(1U, load_at(table.vms().at(2).own_loads.entries(), 11));
     }
 
+    /** Guards against sums that a VM reported while it aggregated, and that stay in the loads as
+     * long as it sends digests of other content. */
+    static void sums_of_former_aggregators_are_forgotten()
+    {
+        instant now(seconds(100));
+        constexpr std::uint32_t own_centre = 7;
+        fleet_table table({1, own_centre, 1}, {}, now);
+        load_exchange exchange(table);
+        const auto receive = [&](std::uint32_t vm, std::uint32_t centre, bool aggregates) {
+            fleet_digest digest;
+            digest.incarnation = 5;
+            digest.sequence = static_cast<std::uint32_t>((now - instant{}) / milliseconds(1));
+            digest.data_centre = centre;
+            load_part& sums = centre == own_centre ? digest.remote_loads : digest.centre_loads;
+            if (aggregates) sums = {0, 1, {{10 + vm, 4}}};
+            CPPUNIT_ASSERT(table.apply_digest(vm, std::move(digest), now) != nullptr);
+        };
+        constexpr std::uint32_t local_vm = 2;
+        constexpr std::uint32_t remote_vm = 3;
+        // In a small fleet, all VMs send each other their own loads.
+        for (std::uint32_t vm = remote_vm + 1; vm <= remote_vm + max_small_fleet_vms; ++vm)
+            receive(vm, own_centre + 1, false);
+        receive(local_vm, own_centre, true);
+        receive(remote_vm, own_centre + 1, true);
+        CPPUNIT_ASSERT_EQUAL(4U, load_at(exchange.loads_of_others(now), 10 + local_vm));
+        CPPUNIT_ASSERT_EQUAL(4U, load_at(exchange.loads_of_others(now), 10 + remote_vm));
+        const instant end = now + remote_sums_timeout + seconds(1);
+        while (now < end) {
+            now += milliseconds(150);
+            receive(local_vm, own_centre, false);
+            receive(remote_vm, own_centre + 1, false);
+        }
+        CPPUNIT_ASSERT(exchange.loads_of_others(now).empty());
+    }
+
     /** Guards against fields lost in encoding, and against truncated digests that are accepted. */
     static void digest_is_unchanged_by_encoding()
     {
