Simpler: one list of unread connections, in the file that limits unread responses

close_unread repeated the loop of enforce_total that notes when clients last read and lists those with unread bytes; both call unread_connections now, and close_unread stands beside its twin in caller_connections_output.cpp. The doc comments of make_room and choose_to_refuse, and the name of its parameter, say that unread responses make room, too.

Behaviour is the same.

--- a/src/caller_connections.h
+++ b/src/caller_connections.h
@@ -175,6 +175,7 @@
     void free_memory(std::size_t needed, bool only_stalled, const connection_state* asking,
                      instant now);
     void enforce_account(instant now);
+    std::vector<connection_state*> unread_connections(instant now);
     void close_unread(std::size_t needed, const connection_state* asking, instant now);
     void refuse_partial(connection_state& connection, input_refusal reason, std::string_view text);
     [[nodiscard]] bool grow_body(connection_state& connection, std::size_t size);
--- a/src/caller_connections_input.cpp
+++ b/src/caller_connections_input.cpp
@@ -124,7 +124,8 @@
     return true;
 }
 
-/** Whether \p bytes more can be held, if need be after stalled requests have been refused.
+/** Whether \p bytes more can be held, if need be after stalled requests have been refused, bodies
+ * released and unread responses closed.
  * \p asking: the connection that needs them. */
 bool caller_connections::make_room(std::size_t bytes, bool large, const connection_state* asking,
                                    instant time)
@@ -169,27 +170,6 @@
     }
 }
 
-/** Closes connections whose clients have not read their responses for a while, so that \p needed
- * bytes become free. */
-void caller_connections::close_unread(std::size_t needed, const connection_state* asking,
-                                      instant time)
-{
-    std::vector<connection_state*> unread;
-    std::vector<memory_holder> holders;
-    for (const auto& [id, connection] : this->connections) {
-        if (std::exchange(connection->has_read, false)) connection->output.read_at = time;
-        if (connection->output.buffered == 0 || connection.get() == asking) continue;
-        unread.push_back(connection.get());
-        const std::size_t request = connection->request == 0 ? 0 : request_bytes;
-        holders.push_back({request + memory_per_output_byte * connection->output.buffered,
-                           connection->output.read_at});
-    }
-    constexpr bool only_stalled = true;
-    for (const std::size_t index :
-         memory_account::choose_to_refuse(holders, needed, only_stalled, time))
-        this->close_slow_client(*unread[index], slow_client_reason::memory, time);
-}
-
 /** Refuses a request that is not received in full. Must not be called while the connection is being
  * read. */
 void caller_connections::refuse_partial(connection_state& connection, input_refusal reason,
--- a/src/caller_connections_output.cpp
+++ b/src/caller_connections_output.cpp
@@ -129,21 +129,49 @@
     }
 }
 
+/** Connections with bytes that their clients have not accepted; notes first when these last read.
+ */
+std::vector<caller_connections::connection_state*>
+caller_connections::unread_connections(instant time)
+{
+    std::vector<connection_state*> unread;
+    for (const auto& [id, connection] : this->connections) {
+        if (std::exchange(connection->has_read, false)) connection->output.read_at = time;
+        if (connection->output.buffered > 0) unread.push_back(connection.get());
+    }
+    return unread;
+}
+
 /** Closes connections while the total bound is exceeded. Called as data is added, since many
  * responses may begin between two sweeps. */
 void caller_connections::enforce_total(instant time)
 {
     if (!this->output_rules.exceeded(this->output)) return;
-    std::vector<connection_state*> waiting;
+    const std::vector<connection_state*> unread = this->unread_connections(time);
     std::vector<client_output> states;
-    for (const auto& [id, connection] : this->connections) {
-        if (std::exchange(connection->has_read, false)) connection->output.read_at = time;
-        if (connection->output.buffered == 0) continue;
-        waiting.push_back(connection.get());
-        states.push_back(connection->output);
-    }
+    std::ranges::transform(unread, std::back_inserter(states), &connection_state::output);
     for (const std::size_t index : this->output_rules.choose_to_close(states, this->output))
-        this->close_slow_client(*waiting[index], slow_client_reason::memory, time);
+        this->close_slow_client(*unread[index], slow_client_reason::memory, time);
+}
+
+/** Closes connections whose clients have not read their responses for a while, so that \p needed
+ * bytes become free. \p asking: the connection that needs them. */
+void caller_connections::close_unread(std::size_t needed, const connection_state* asking,
+                                      instant time)
+{
+    std::vector<connection_state*> unread = this->unread_connections(time);
+    std::erase(unread, asking);
+    std::vector<memory_holder> holders;
+    std::ranges::transform(
+        unread, std::back_inserter(holders), [](const connection_state* connection) {
+            const std::size_t request = connection->request == 0 ? 0 : request_bytes;
+            return memory_holder{request + memory_per_output_byte * connection->output.buffered,
+                                 connection->output.read_at};
+        });
+    constexpr bool only_stalled = true;
+    for (const std::size_t index :
+         memory_account::choose_to_refuse(holders, needed, only_stalled, time))
+        this->close_slow_client(*unread[index], slow_client_reason::memory, time);
 }
 
 } // namespace worksshift
--- a/src/memory_account.cpp
+++ b/src/memory_account.cpp
@@ -100,25 +100,25 @@
     held_for_use = held_for_use - before + after;
 }
 
-std::vector<std::size_t> memory_account::choose_to_refuse(std::span<const memory_holder> partial,
+std::vector<std::size_t> memory_account::choose_to_refuse(std::span<const memory_holder> holders,
                                                           std::size_t needed, bool only_stalled,
                                                           instant now)
 {
-    std::vector<std::size_t> order(partial.size());
+    std::vector<std::size_t> order(holders.size());
     std::iota(order.begin(), order.end(), std::size_t{0});
     std::erase_if(order, [&](std::size_t index) {
-        const memory_holder& item = partial[index];
+        const memory_holder& item = holders[index];
         return item.bytes == 0 || (only_stalled && now - item.progress_at < stalled_after);
     });
     const auto byte_seconds = [&](std::size_t index) {
-        const std::chrono::duration<double> age = now - partial[index].progress_at;
-        return static_cast<double>(partial[index].bytes) * age.count();
+        const std::chrono::duration<double> age = now - holders[index].progress_at;
+        return static_cast<double>(holders[index].bytes) * age.count();
     };
     std::ranges::stable_sort(order, std::greater<>{}, byte_seconds);
     std::size_t freed = 0;
     const auto enough = std::ranges::find_if(order, [&](std::size_t index) {
         if (freed >= needed) return true;
-        freed += partial[index].bytes;
+        freed += holders[index].bytes;
         return false;
     });
     order.erase(enough, order.end());
--- a/src/memory_account.h
+++ b/src/memory_account.h
@@ -131,11 +131,11 @@
         return this->counters->by_use[static_cast<std::size_t>(use)];
     }
 
-    /** Which requests to refuse so that at least \p needed bytes are freed, as indexes into
-     * \p partial: those first that have held most bytes for the longest time without progress.
+    /** Which requests to refuse or cut off so that at least \p needed bytes are freed, as indexes
+     * into \p holders: those first that have held most bytes for the longest time without progress.
      * \p only_stalled: none that has made progress lately. May free less than needed. */
     [[nodiscard]] static std::vector<std::size_t>
-    choose_to_refuse(std::span<const memory_holder> partial, std::size_t needed, bool only_stalled,
+    choose_to_refuse(std::span<const memory_holder> holders, std::size_t needed, bool only_stalled,
                      instant now);
 
     /** Writes the bytes held and their bound, a metric a line. */
