Responses of servers whose status line is none are refused

What callers saw: a server answered with the status 000, and the caller got it as a whole, signed answer, "HTTP/1.1 0"; the same with 001, 010, 099, 20, 0, 0200, 600 and 999, with HTTP/0.0, 0.9, 2.0 and 9.9, and with a control byte in the reason.

Cause: http_reader passes on whatever number http-parser reads, and http-parser takes any digits, and any version, for a status line. Nobody asked whether the response can be final.

All connections to servers and to other VMs read with http_reader. A malformed response is a broken one: 502 without a signature, or another attempt where the route allows it, the connection closed, a failure in the server's health. The attempt's log line has the rule and the text (step=parse); worksshift_malformed_responses_total{from} counts.

--- a/src/http_wire.cpp
+++ b/src/http_wire.cpp
@@ -119,6 +119,7 @@
     this->parser.data = this;
     // An assignment of an empty head would keep the memory of its target.
     static_cast<void>(std::exchange(this->head, http_head()));
+    this->check = response_check();
     this->head_bytes = 0;
     this->oversized = false;
     this->last_was_value = false;
@@ -158,6 +159,15 @@
     return skip_body ? 1 : 0;
 }
 
+/** Whether the next bytes of a response are well-formed. Requests are only parsed. */
+bool http_reader::check_response(std::string_view bytes)
+{
+    if (this->reader_side == message_kind::requests) return true;
+    const std::optional<response_fault> broken = this->check.add(bytes);
+    if (broken) this->fault_text = to_string(*broken);
+    return !broken;
+}
+
 read_result http_reader::classify(std::size_t input_size, std::size_t consumed)
 {
     if (!this->head_read) {
@@ -180,6 +190,7 @@
         const auto* bytes =
             reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
         this->started = true;
+        if (!this->check_response({bytes, size})) return read_result::malformed;
         const std::size_t consumed = http_parser_execute(&this->parser, &callbacks, bytes, size);
         const read_result result = this->classify(size, consumed);
         evbuffer_drain(input, consumed);
@@ -192,6 +203,8 @@
         this->interim_bytes = interim ? this->interim_bytes + this->head_bytes + consumed : 0;
         if (result == read_result::message_complete) this->reset();
         if (this->interim_bytes > this->max_head_bytes) return read_result::head_too_large;
+        if (result == read_result::malformed)
+            this->fault_text = http_errno_description(HTTP_PARSER_ERRNO(&this->parser));
         if (!interim) return result;
     }
     return read_result::need_more;
--- a/src/http_wire.h
+++ b/src/http_wire.h
@@ -19,6 +19,7 @@
 
 #include "event_loop.h"
 #include "messages.h"
+#include "response_check.h"
 
 namespace worksshift {
 
@@ -45,6 +46,9 @@
 /** Memory that a head takes, in bytes. */
 std::size_t size_in_memory(const http_head& head);
 
+/** Step at which a response that is not well-formed fails. */
+constexpr std::string_view parse_step = "parse";
+
 /** Result of reading input. */
 enum class read_result : std::uint8_t { need_more, message_complete, malformed, head_too_large };
 
@@ -66,6 +70,8 @@
     read_result read(evbuffer* input);
     /** Handles the end of input. A response without a length is complete at this point. */
     read_result read_eof();
+    /** Why the last message was found to be malformed. */
+    [[nodiscard]] const std::string& fault() const { return this->fault_text; }
 
     /** The next response has no body whatever its headers say, as after a HEAD request. */
     void expect_no_body() { this->bodiless = true; }
@@ -85,12 +91,15 @@
     static http_reader& self(http_parser* parser);
     void reset();
     int handle_head();
+    bool check_response(std::string_view bytes);
     read_result classify(std::size_t input_size, std::size_t consumed);
 
     message_kind reader_side;
     std::size_t max_head_bytes;
     http_parser parser{};
+    response_check check; ///< of a response
     http_head head;
+    std::string fault_text;
     std::size_t head_bytes = 0;
     std::size_t interim_bytes = 0; ///< of informational responses before the current one
     bool last_was_value = false;   ///< the last header callback was for a value
--- a/src/request_path.cpp
+++ b/src/request_path.cpp
@@ -587,6 +587,7 @@
         return;
     }
     ++request.runs;
+    if (end.step == parse_step) this->count_malformed("server");
     this->record_broken_attempt(request, row.record, end, time);
     const bool complete = end.result == send_progress::answered && !request.cannot_resume &&
                           !request.events.has_partial_event();
@@ -622,6 +623,13 @@
     this->finish_answer(request);
 }
 
+/** \p from: what sent the malformed response, a server or another VM. */
+void request_path::count_malformed(std::string_view from)
+{
+    this->telemetry.count("worksshift_malformed_responses_total{from=\"" + std::string(from) +
+                          "\"}");
+}
+
 /** Records the attempt's outcome in its server's statistics. */
 void request_path::record_outcome(const live_request& request, const attempt_outcome& end,
                                   instant time)
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -146,6 +146,7 @@
     void forward_body(live_request& request, std::string_view bytes);
     void record_first_event(const live_request& request);
     void on_attempt_end(const attempt_outcome& end);
+    void count_malformed(std::string_view from);
     void record_outcome(const live_request& request, const attempt_outcome& end, instant time);
     void abandon_silent_attempt(live_request& request, instant time);
     void cancel_attempt(live_request& request, instant time);
--- a/src/request_path_relay.cpp
+++ b/src/request_path_relay.cpp
@@ -178,6 +178,7 @@
         this->retry_elsewhere(request, "relay", not_sent ? end.detail : "refused");
         return;
     }
+    if (end.step == parse_step) this->count_malformed("vm");
     const bool answered = end.result == send_progress::answered;
     // A VM that breaks off a response has got one, and its server may have broken it off.
     const bool responded = answered || request.relay_responded;
--- /dev/null
+++ b/src/response_check.cpp
@@ -0,0 +1,119 @@
+#include "response_check.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include "log.h"
+
+namespace worksshift {
+
+namespace {
+
+bool is_digit(char byte)
+{
+    return byte >= '0' && byte <= '9';
+}
+
+/** Whether a header's value or a reason phrase may contain it: no control characters but the
+ * horizontal tab (RFC 9110, 5.5). */
+bool is_text_character(char byte)
+{
+    constexpr unsigned char first_printable = 0x20;
+    constexpr unsigned char del = 0x7f;
+    const auto code = static_cast<unsigned char>(byte);
+    return byte == '\t' || (code >= first_printable && code != del);
+}
+
+/** Parses digits only: no sign, prefix or blanks. */
+std::optional<std::uint64_t> parse_size(std::string_view text, int base)
+{
+    std::uint64_t size = 0;
+    const char* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, size, base);
+    if (text.empty() || parsed.ec != std::errc{} || parsed.ptr != end) return std::nullopt;
+    return size;
+}
+
+response_fault fault_of(response_rule rule, std::string_view value)
+{
+    return {rule, std::string(value.substr(0, max_fault_value_bytes))};
+}
+
+} // namespace
+
+std::string_view name_of(response_rule rule)
+{
+    constexpr std::array<std::string_view, 3> names{"status line", "version", "status"};
+    return names.at(static_cast<std::size_t>(rule));
+}
+
+std::string to_string(const response_fault& fault)
+{
+    return std::string(name_of(fault.rule)) + " " + escape_log_value(fault.value);
+}
+
+std::optional<response_fault> response_check::add(std::string_view bytes)
+{
+    while (this->next != part::rest && !bytes.empty()) {
+        if (auto fault = this->add_line(bytes)) return fault;
+    }
+    return std::nullopt;
+}
+
+/** Removes the next line, or a part of it, from \p bytes. Checks the line once it is complete. */
+std::optional<response_fault> response_check::add_line(std::string_view& bytes)
+{
+    const std::size_t line_end = bytes.find('\n');
+    if (line_end == std::string_view::npos) {
+        this->partial_line.append(std::exchange(bytes, {}));
+        return std::nullopt;
+    }
+    std::string_view line = bytes.substr(0, line_end);
+    bytes.remove_prefix(line_end + 1);
+    if (!this->partial_line.empty()) line = this->partial_line.append(line);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    auto fault = this->check_line(line);
+    this->partial_line.clear();
+    return fault;
+}
+
+std::optional<response_fault> response_check::check_line(std::string_view text)
+{
+    if (this->next == part::status_line) {
+        this->next = part::headers;
+        return this->check_status_line(text);
+    }
+    if (text.empty()) this->next = part::rest;
+    return std::nullopt;
+}
+
+/** Checks `HTTP/1.x NNN REASON`. Servers may omit the reason with the blank before it. */
+std::optional<response_fault> response_check::check_status_line(std::string_view text)
+{
+    constexpr std::string_view protocol = "HTTP/";
+    constexpr std::size_t version_size = 3;
+    constexpr std::size_t status_size = 3;
+    if (!text.starts_with(protocol)) return fault_of(response_rule::status_line, text);
+    const std::size_t version_end = std::min(text.find(' '), text.size());
+    const std::string_view version = text.substr(protocol.size(), version_end - protocol.size());
+    if (version.size() != version_size || !version.starts_with("1.") || !is_digit(version.back()))
+        return fault_of(response_rule::version, text.substr(0, version_end));
+    if (version_end == text.size()) return fault_of(response_rule::status_line, text);
+
+    constexpr std::uint64_t first_status = 100;
+    constexpr std::uint64_t last_status = 599;
+    constexpr std::uint64_t switching_protocols = 101;
+    const std::string_view rest = text.substr(version_end + 1);
+    const std::string_view digits = rest.substr(0, rest.find(' '));
+    const std::uint64_t number = parse_size(digits, 10).value_or(0);
+    if (digits.size() != status_size || number < first_status || number > last_status ||
+        number == switching_protocols)
+        return fault_of(response_rule::status, digits);
+    if (!std::ranges::all_of(rest, is_text_character))
+        return fault_of(response_rule::status_line, text);
+    return std::nullopt;
+}
+
+} // namespace worksshift
--- /dev/null
+++ b/src/response_check.h
@@ -0,0 +1,59 @@
+/** \file
+ * Decides which HTTP responses are well-formed, for every response that is read.
+ *
+ * A malformed response is broken as a whole: where it ends, and which request it answers, would be
+ * a guess. http-parser accepts much that RFC 9110 and RFC 9112 forbid, such as the status 000 or
+ * codings that it does not undo, so `http_reader` has all bytes checked here before they
+ * are parsed.
+ */
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace worksshift {
+
+/** A rule for responses. */
+enum class response_rule : std::uint8_t {
+    status_line, ///< has the form `HTTP/1.x NNN REASON`
+    version,     ///< is HTTP/1.x
+    status,      ///< has three digits, from 100 to 599, and is not 101, which nobody asks for
+};
+
+std::string_view name_of(response_rule rule);
+
+/** A broken rule and the text that breaks it. */
+struct response_fault {
+    response_rule rule = response_rule::status_line;
+    std::string value; ///< at most `max_fault_value_bytes` of it
+};
+
+/** Maximum size of the text that a `response_fault` quotes. */
+constexpr std::size_t max_fault_value_bytes = 64;
+
+/** Formats as `NAME VALUE`, with the value escaped as in log lines. */
+std::string to_string(const response_fault& fault);
+
+/** Checks one response, which may arrive in pieces. */
+class response_check {
+public:
+    /** Checks the next bytes, up to the end of the head. Returns the first fault. */
+    std::optional<response_fault> add(std::string_view bytes);
+    /** The empty line that ends the head was read. */
+    [[nodiscard]] bool head_complete() const { return this->next == part::rest; }
+
+private:
+    /** What the next byte belongs to. */
+    enum class part : std::uint8_t { status_line, headers, rest };
+
+    std::optional<response_fault> add_line(std::string_view& bytes);
+    std::optional<response_fault> check_line(std::string_view text);
+    std::optional<response_fault> check_status_line(std::string_view text);
+
+    part next = part::status_line;
+    std::string partial_line;
+};
+
+} // namespace worksshift
--- a/src/server_connections.cpp
+++ b/src/server_connections.cpp
@@ -254,7 +254,9 @@
         const read_result result = connection->reader.read(input);
         if (result == read_result::need_more) return;
         if (result != read_result::message_complete) {
-            this->fail(connection, "parse", "malformed response");
+            this->fail(connection, parse_step.data(),
+                       result == read_result::head_too_large ? "response head too large"
+                                                             : connection->reader.fault());
             return;
         }
         // That was a late response to an earlier request; the expected one is still to come.
