Responses of servers with a line that continues the one before are refused

What callers saw: a line that begins with a blank was added to the value of the header above it.

Cause: http-parser joins such lines (RFC 9112, 5.2 lets a proxy refuse them), and gives no sign that it did.

The last two were handled before, by http-parser and http_reader; they stand beside the others now, as every reader of responses will ask this module. Headers of informational responses are not checked: nothing of them is passed on, and a sound answer after one with a blank in a name stays an answer.

--- a/src/http_wire.cpp
+++ b/src/http_wire.cpp
@@ -137,17 +137,17 @@
         constexpr std::uint64_t not_announced = std::numeric_limits<std::uint64_t>::max();
         if (this->parser.content_length != not_announced)
             this->head.body_length = this->parser.content_length;
+        // http-parser accepts blanks in header names. Such a header is rejected, because a server
+        // might interpret it as a different one.
+        const auto blank = [](const header& entry) {
+            return entry.name.find_first_of(" \t") != std::string::npos;
+        };
+        if (std::ranges::any_of(this->head.headers, blank)) return -1;
     } else {
         this->head.status = static_cast<int>(this->parser.status_code);
         constexpr int informational = 100;
         if (this->head.status / informational == 1) return 0;
     }
-    // http-parser accepts blanks in header names. Such a header is rejected, because a server might
-    // interpret it as a different one.
-    const auto blank = [](const header& entry) {
-        return entry.name.find_first_of(" \t") != std::string::npos;
-    };
-    if (std::ranges::any_of(this->head.headers, blank)) return -1;
     std::size_t size = this->head.target.size();
     for (const header& entry : this->head.headers) {
         size += entry.name.size() + entry.value.size() + line_overhead;
--- a/src/response_check.cpp
+++ b/src/response_check.cpp
@@ -11,11 +11,21 @@
 
 namespace {
 
+constexpr std::string_view blanks = " \t";
+
 bool is_digit(char byte)
 {
     return byte >= '0' && byte <= '9';
 }
 
+/** The `tchar` of RFC 9110, 5.6.2. */
+bool is_token_character(char byte)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    const bool letter = (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z');
+    return letter || is_digit(byte) || marks.find(byte) != std::string_view::npos;
+}
+
 /** Whether a header's value or a reason phrase may contain it: no control characters but the
  * horizontal tab (RFC 9110, 5.5). */
 bool is_text_character(char byte)
@@ -26,6 +36,13 @@
     return byte == '\t' || (code >= first_printable && code != del);
 }
 
+std::string_view trim_blanks(std::string_view text)
+{
+    const std::size_t begin = text.find_first_not_of(blanks);
+    if (begin == std::string_view::npos) return {};
+    return text.substr(begin, text.find_last_not_of(blanks) - begin + 1);
+}
+
 /** Parses digits only: no sign, prefix or blanks. */
 std::optional<std::uint64_t> parse_size(std::string_view text, int base)
 {
@@ -45,7 +62,9 @@
 
 std::string_view name_of(response_rule rule)
 {
-    constexpr std::array<std::string_view, 3> names{"status line", "version", "status"};
+    constexpr std::array<std::string_view, 6> names{
+        "status line", "version", "status", "folded line", "header name", "header value",
+    };
     return names.at(static_cast<std::size_t>(rule));
 }
 
@@ -85,7 +104,8 @@
         this->next = part::headers;
         return this->check_status_line(text);
     }
-    if (text.empty()) this->next = part::rest;
+    if (!text.empty()) return this->check_header(text);
+    this->next = part::rest;
     return std::nullopt;
 }
 
@@ -111,9 +131,26 @@
     if (digits.size() != status_size || number < first_status || number > last_status ||
         number == switching_protocols)
         return fault_of(response_rule::status, digits);
+    this->status = static_cast<int>(number);
     if (!std::ranges::all_of(rest, is_text_character))
         return fault_of(response_rule::status_line, text);
     return std::nullopt;
 }
 
+std::optional<response_fault> response_check::check_header(std::string_view text)
+{
+    // Nothing of an informational response is used or passed on.
+    if (is_informational(this->status)) return std::nullopt;
+    if (blanks.find(text.front()) != std::string_view::npos)
+        return fault_of(response_rule::folded_line, text);
+    const std::string_view name = text.substr(0, text.find(':'));
+    const bool named = !name.empty() && name.size() < text.size();
+    if (!named || !std::ranges::all_of(name, is_token_character))
+        return fault_of(response_rule::header_name, text);
+    const std::string_view value = trim_blanks(text.substr(name.size() + 1));
+    if (!std::ranges::all_of(value, is_text_character))
+        return fault_of(response_rule::header_value, text);
+    return std::nullopt;
+}
+
 } // namespace worksshift
--- a/src/response_check.h
+++ b/src/response_check.h
@@ -17,9 +17,12 @@
 
 /** A rule for responses. */
 enum class response_rule : std::uint8_t {
-    status_line, ///< has the form `HTTP/1.x NNN REASON`
-    version,     ///< is HTTP/1.x
-    status,      ///< has three digits, from 100 to 599, and is not 101, which nobody asks for
+    status_line,  ///< has the form `HTTP/1.x NNN REASON`
+    version,      ///< is HTTP/1.x
+    status,       ///< has three digits, from 100 to 599, and is not 101, which nobody asks for
+    folded_line,  ///< no line continues the line before it
+    header_name,  ///< is there, and is a token
+    header_value, ///< has no control characters
 };
 
 std::string_view name_of(response_rule rule);
@@ -36,6 +39,13 @@
 /** Formats as `NAME VALUE`, with the value escaped as in log lines. */
 std::string to_string(const response_fault& fault);
 
+/** Whether the response is followed by another one to the same request. */
+constexpr bool is_informational(int status)
+{
+    constexpr int first_final = 200;
+    return status < first_final;
+}
+
 /** Checks one response, which may arrive in pieces. */
 class response_check {
 public:
@@ -51,9 +61,11 @@
     std::optional<response_fault> add_line(std::string_view& bytes);
     std::optional<response_fault> check_line(std::string_view text);
     std::optional<response_fault> check_status_line(std::string_view text);
+    std::optional<response_fault> check_header(std::string_view text);
 
     part next = part::status_line;
     std::string partial_line;
+    int status = 0;
 };
 
 } // namespace worksshift
