Responses of servers in a coding that the router does not undo are refused

What callers saw: with Transfer-Encoding gzip, "chunked, gzip" or an unknown coding, the coded bytes, or the framing of the chunks, up to the close as the body; with "gzip, chunked" or chunked twice, a body that is still coded, without the header that says so.

Cause: http-parser looks for chunked as the last coding and reads to the end of the connection otherwise; the router drops Transfer-Encoding, which applies to one connection, as if it had undone it.

Change: response_check accepts only the coding chunked, once, not in HTTP/1.0, and not beside a length; and one Content-Length of digits.

--- a/src/response_check.cpp
+++ b/src/response_check.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <utility>
 
+#include "http_wire.h"
 #include "log.h"
 
 namespace worksshift {
@@ -62,8 +63,9 @@
 
 std::string_view name_of(response_rule rule)
 {
-    constexpr std::array<std::string_view, 6> names{
-        "status line", "version", "status", "folded line", "header name", "header value",
+    constexpr std::array<std::string_view, 8> names{
+        "status line", "version",      "status",         "folded line",
+        "header name", "header value", "content length", "transfer encoding",
     };
     return names.at(static_cast<std::size_t>(rule));
 }
@@ -120,6 +122,7 @@
     const std::string_view version = text.substr(protocol.size(), version_end - protocol.size());
     if (version.size() != version_size || !version.starts_with("1.") || !is_digit(version.back()))
         return fault_of(response_rule::version, text.substr(0, version_end));
+    this->encoding_allowed = version != "1.0";
     if (version_end == text.size()) return fault_of(response_rule::status_line, text);
 
     constexpr std::uint64_t first_status = 100;
@@ -150,6 +153,24 @@
     const std::string_view value = trim_blanks(text.substr(name.size() + 1));
     if (!std::ranges::all_of(value, is_text_character))
         return fault_of(response_rule::header_value, text);
+    return this->check_framing(name, value);
+}
+
+/** Checks the headers that state where the body ends. A body with both a length and a coding, with
+ * two lengths, or with a coding that is not undone here could end at more than one place. */
+std::optional<response_fault> response_check::check_framing(std::string_view name,
+                                                            std::string_view value)
+{
+    if (header_names_equal(name, "content-length")) {
+        const bool again = std::exchange(this->has_length, true);
+        if (again || this->has_encoding || !parse_size(value, 10))
+            return fault_of(response_rule::content_length, value);
+    } else if (header_names_equal(name, "transfer-encoding")) {
+        const bool again = std::exchange(this->has_encoding, true);
+        const bool undone = this->encoding_allowed && header_names_equal(value, "chunked");
+        if (again || this->has_length || !undone)
+            return fault_of(response_rule::transfer_encoding, value);
+    }
     return std::nullopt;
 }
 
--- a/src/response_check.h
+++ b/src/response_check.h
@@ -17,12 +17,14 @@
 
 /** A rule for responses. */
 enum class response_rule : std::uint8_t {
-    status_line,  ///< has the form `HTTP/1.x NNN REASON`
-    version,      ///< is HTTP/1.x
-    status,       ///< has three digits, from 100 to 599, and is not 101, which nobody asks for
-    folded_line,  ///< no line continues the line before it
-    header_name,  ///< is there, and is a token
-    header_value, ///< has no control characters
+    status_line,       ///< has the form `HTTP/1.x NNN REASON`
+    version,           ///< is HTTP/1.x
+    status,            ///< has three digits, from 100 to 599, and is not 101, which nobody asks for
+    folded_line,       ///< no line continues the line before it
+    header_name,       ///< is there, and is a token
+    header_value,      ///< has no control characters
+    content_length,    ///< is one decimal number, stated once
+    transfer_encoding, ///< is `chunked`, stated once and without a length
 };
 
 std::string_view name_of(response_rule rule);
@@ -62,10 +64,14 @@
     std::optional<response_fault> check_line(std::string_view text);
     std::optional<response_fault> check_status_line(std::string_view text);
     std::optional<response_fault> check_header(std::string_view text);
+    std::optional<response_fault> check_framing(std::string_view name, std::string_view value);
 
     part next = part::status_line;
     std::string partial_line;
     int status = 0;
+    bool encoding_allowed = true; ///< HTTP/1.0 has none
+    bool has_length = false;
+    bool has_encoding = false;
 };
 
 } // namespace worksshift
