Chunks that are longer than they state are refused

What callers saw: a response with a chunk of five bytes, in which the server wrote seven, as a whole answer without the last two bytes.

Cause: after a chunk, http-parser as Debian builds it (without its strict mode) takes any two bytes for the line end.

Change: response_check follows the chunks of a body: their size, as many bytes, and the line end.

--- a/src/response_check.cpp
+++ b/src/response_check.cpp
@@ -63,9 +63,10 @@
 
 std::string_view name_of(response_rule rule)
 {
-    constexpr std::array<std::string_view, 8> names{
-        "status line", "version",      "status",         "folded line",
-        "header name", "header value", "content length", "transfer encoding",
+    constexpr std::array<std::string_view, 9> names{
+        "status line",    "version",           "status",
+        "folded line",    "header name",       "header value",
+        "content length", "transfer encoding", "chunk",
     };
     return names.at(static_cast<std::size_t>(rule));
 }
@@ -78,7 +79,15 @@
 std::optional<response_fault> response_check::add(std::string_view bytes)
 {
     while (this->next != part::rest && !bytes.empty()) {
-        if (auto fault = this->add_line(bytes)) return fault;
+        if (this->next == part::chunk_data) {
+            const auto size = static_cast<std::size_t>(
+                std::min<std::uint64_t>(this->chunk_remaining, bytes.size()));
+            this->chunk_remaining -= size;
+            bytes.remove_prefix(size);
+            if (this->chunk_remaining == 0) this->next = part::chunk_end;
+        } else if (auto fault = this->add_line(bytes)) {
+            return fault;
+        }
     }
     return std::nullopt;
 }
@@ -89,25 +98,43 @@
     const std::size_t line_end = bytes.find('\n');
     if (line_end == std::string_view::npos) {
         this->partial_line.append(std::exchange(bytes, {}));
-        return std::nullopt;
+        // The end of a chunk's data is two bytes; any others may be data without an end.
+        const bool data = this->next == part::chunk_end && this->partial_line != "\r";
+        return data ? std::optional(fault_of(response_rule::chunk, this->partial_line))
+                    : std::nullopt;
     }
     std::string_view line = bytes.substr(0, line_end);
     bytes.remove_prefix(line_end + 1);
     if (!this->partial_line.empty()) line = this->partial_line.append(line);
-    if (line.ends_with('\r')) line.remove_suffix(1);
     auto fault = this->check_line(line);
     this->partial_line.clear();
     return fault;
 }
 
+/** \p text: with its carriage return, without its line feed. */
 std::optional<response_fault> response_check::check_line(std::string_view text)
 {
-    if (this->next == part::status_line) {
+    std::string_view line = text;
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    switch (this->next) {
+    case part::status_line:
         this->next = part::headers;
-        return this->check_status_line(text);
+        return this->check_status_line(line);
+    case part::headers:
+        if (!line.empty()) return this->check_header(line);
+        this->next =
+            this->has_encoding && !is_bodiless(this->status) ? part::chunk_size : part::rest;
+        return std::nullopt;
+    case part::chunk_size:
+        return this->check_chunk_size(line);
+    case part::chunk_end:
+        this->next = part::chunk_size;
+        if (text != "\r") return fault_of(response_rule::chunk, text);
+        return std::nullopt;
+    case part::chunk_data:
+    case part::rest:
+        break; // have no lines
     }
-    if (!text.empty()) return this->check_header(text);
-    this->next = part::rest;
     return std::nullopt;
 }
 
@@ -174,4 +201,19 @@
     return std::nullopt;
 }
 
+/** Checks `SIZE` or `SIZE;EXTENSION`. Servers may put blanks after the size. */
+std::optional<response_fault> response_check::check_chunk_size(std::string_view text)
+{
+    constexpr int hexadecimal = 16;
+    const std::string_view digits = text.substr(0, text.find(';'));
+    const bool indented = !digits.empty() && blanks.find(digits.front()) != std::string_view::npos;
+    const std::optional<std::uint64_t> size = parse_size(trim_blanks(digits), hexadecimal);
+    if (indented || !size || !std::ranges::all_of(text, is_text_character))
+        return fault_of(response_rule::chunk, text);
+    this->chunk_remaining = *size;
+    // After the last chunk come trailers, which are dropped.
+    this->next = *size > 0 ? part::chunk_data : part::rest;
+    return std::nullopt;
+}
+
 } // namespace worksshift
--- a/src/response_check.h
+++ b/src/response_check.h
@@ -3,7 +3,7 @@
  *
  * A malformed response is broken as a whole: where it ends, and which request it answers, would be
  * a guess. http-parser accepts much that RFC 9110 and RFC 9112 forbid, such as the status 000 or
- * codings that it does not undo, so `http_reader` has all bytes checked here before they
+ * chunks that are longer than they state, so `http_reader` has all bytes checked here before they
  * are parsed.
  */
 #pragma once
@@ -25,6 +25,7 @@
     header_value,      ///< has no control characters
     content_length,    ///< is one decimal number, stated once
     transfer_encoding, ///< is `chunked`, stated once and without a length
+    chunk,             ///< has the stated size
 };
 
 std::string_view name_of(response_rule rule);
@@ -48,23 +49,40 @@
     return status < first_final;
 }
 
+/** Whether a response with this status has no body, whatever its headers say (RFC 9112, 6.3). */
+constexpr bool is_bodiless(int status)
+{
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    return is_informational(status) || status == no_content || status == not_modified;
+}
+
 /** Checks one response, which may arrive in pieces. */
 class response_check {
 public:
-    /** Checks the next bytes, up to the end of the head. Returns the first fault. */
+    /** Checks the next bytes, up to the end of the head or of the last chunk. Other bodies, and
+     * bytes after the response, are not checked. Returns the first fault. */
     std::optional<response_fault> add(std::string_view bytes);
     /** The empty line that ends the head was read. */
-    [[nodiscard]] bool head_complete() const { return this->next == part::rest; }
+    [[nodiscard]] bool head_complete() const { return this->next > part::headers; }
 
 private:
     /** What the next byte belongs to. */
-    enum class part : std::uint8_t { status_line, headers, rest };
+    enum class part : std::uint8_t {
+        status_line,
+        headers,
+        chunk_size,
+        chunk_data,
+        chunk_end,
+        rest
+    };
 
     std::optional<response_fault> add_line(std::string_view& bytes);
     std::optional<response_fault> check_line(std::string_view text);
     std::optional<response_fault> check_status_line(std::string_view text);
     std::optional<response_fault> check_header(std::string_view text);
     std::optional<response_fault> check_framing(std::string_view name, std::string_view value);
+    std::optional<response_fault> check_chunk_size(std::string_view text);
 
     part next = part::status_line;
     std::string partial_line;
@@ -72,6 +90,7 @@
     bool encoding_allowed = true; ///< HTTP/1.0 has none
     bool has_length = false;
     bool has_encoding = false;
+    std::uint64_t chunk_remaining = 0; ///< bytes of the current chunk's data
 };
 
 } // namespace worksshift
