Responses with 204 and 304, and informational ones, end with their head

What callers saw: for a 304 with the length of what it stands for, as servers send it, the router waited for a body (shown on http_reader alone: it needs more input after the head; by reading, the caller then gets a 502 or 504); a 204 or 304 with a length and bytes was passed on with a Content-Length that no bytes followed; a 103 with a length took the first bytes of the answer after it, which became a 502.

Cause: http-parser reads a body by the headers alone, and caller_connections announces a length for each response. RFC 9112, 6.3: responses with 1xx, 204 and 304 end with the empty line after their head, whatever their headers say; RFC 9110, 8.6: a 204 must not state a length.

Change: http_reader tells http-parser that such a response has no body; bytes after it close the connection, as all that nobody asked for. The heads of 204 and 304 go to callers without a length and without chunks.

Evidence: malformed_server_responses::responses_without_body and informational_response_before_the_answer failed before and pass; in the first, the caller sends its next request on the same connection and gets its answer.

--- a/src/caller_connections.cpp
+++ b/src/caller_connections.cpp
@@ -269,9 +269,11 @@
             continue;
         append_header(text, entry.name, entry.value);
     }
-    if (length) {
+    // The caller of a response without a body could wait for one of a stated length.
+    const bool bodiless = is_bodiless(head.status);
+    if (!bodiless && length) {
         append_header(text, "Content-Length", std::to_string(*length));
-    } else {
+    } else if (!bodiless) {
         append_header(text, "Transfer-Encoding", "chunked");
     }
     if (this->closing || !connection.keep_alive) append_header(text, "Connection", "close");
--- a/src/http_wire.cpp
+++ b/src/http_wire.cpp
@@ -130,6 +130,7 @@
 
 int http_reader::handle_head()
 {
+    constexpr int without_body = 1;
     this->head_read = true;
     this->head.keep_alive = http_should_keep_alive(&this->parser) != 0;
     if (this->reader_side == message_kind::requests) {
@@ -145,8 +146,7 @@
         if (std::ranges::any_of(this->head.headers, blank)) return -1;
     } else {
         this->head.status = static_cast<int>(this->parser.status_code);
-        constexpr int informational = 100;
-        if (this->head.status / informational == 1) return 0;
+        if (is_informational(this->head.status)) return without_body;
     }
     std::size_t size = this->head.target.size();
     for (const header& entry : this->head.headers) {
@@ -155,8 +155,10 @@
     this->oversized = size > this->max_head_bytes;
     if (this->oversized) return -1;
     this->on_head(this->head);
-    const bool skip_body = std::exchange(this->bodiless, false);
-    return skip_body ? 1 : 0;
+    const bool skip_body =
+        std::exchange(this->bodiless, false) ||
+        (this->reader_side == message_kind::responses && is_bodiless(this->head.status));
+    return skip_body ? without_body : 0;
 }
 
 /** Whether the next bytes of a response are well-formed. Requests are only parsed. */
@@ -195,10 +197,9 @@
         const read_result result = this->classify(size, consumed);
         evbuffer_drain(input, consumed);
         if (result == read_result::need_more) continue;
-        constexpr int informational = 100;
         const bool interim = result == read_result::message_complete &&
                              this->reader_side == message_kind::responses &&
-                             this->head.status / informational == 1;
+                             is_informational(this->head.status);
         // Otherwise, a server could send informational responses without end.
         this->interim_bytes = interim ? this->interim_bytes + this->head_bytes + consumed : 0;
         if (result == read_result::message_complete) this->reset();
