Gates read responses with the reader that checks them

Cause: server_calls read through evhttp, which accepts all this, narrows statuses, joins and cuts lines, and reads on from the bytes that are left over on a connection in use again.

Change: client_connection, one HTTP/1.1 connection on http_reader for one request at a time, takes the place of evhttp's. What is well-formed is thus decided by response_check for gates, too. A malformed response ends a call as unknown and counts against the server's breaker; the log line malformed_response has the rule and the text. A connection is used again only if its last response is complete, allows it, and nothing waits on it; a request is not written to one on which bytes came before it. Checking the bytes first and letting evhttp read them was weighed: two readers could disagree on where a message ends. Values lose blanks at their end, as with evhttp (http-parser keeps them).

--- a/src/event_loop.cpp
+++ b/src/event_loop.cpp
@@ -2,8 +2,10 @@
 
 #include <cerrno>
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace worksshift {
@@ -125,6 +127,24 @@
     return peek(socket) > 0;
 }
 
+bool is_quiet(bufferevent* socket)
+{
+    if (evbuffer_get_length(bufferevent_get_input(socket)) > 0) return false;
+    return peek(bufferevent_getfd(socket)) < 0 && errno == EAGAIN;
+}
+
+bool ended_in_order(bufferevent* socket)
+{
+    if (evbuffer_get_length(bufferevent_get_output(socket)) > 0) return false;
+    const evutil_socket_t descriptor = bufferevent_getfd(socket);
+    int error = 0;
+    socklen_t size = sizeof error;
+    if (getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0)
+        return false;
+    int unacknowledged = 0;
+    return ioctl(descriptor, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
+}
+
 void set_unsent_limit(evutil_socket_t socket, int bytes)
 {
     setsockopt(socket, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &bytes, sizeof bytes);
--- a/src/event_loop.h
+++ b/src/event_loop.h
@@ -84,6 +84,14 @@
 /** Whether the system holds bytes that were not read yet. */
 bool has_unread_input(evutil_socket_t socket);
 
+/** Whether nothing arrived that was not handled: no bytes, no end of input and no error. What
+ * arrives on a connection before a request is written does not answer it. */
+bool is_quiet(bufferevent* socket);
+
+/** Whether the end of input, which was just read, is that of a peer that has received all output of
+ * this connection. It is not if output is unsent or unacknowledged, or if a reset followed. */
+bool ended_in_order(bufferevent* socket);
+
 /** Limits the bytes that the system accepts beyond those that may be in flight to the peer. */
 void set_unsent_limit(evutil_socket_t socket, int bytes);
 
--- a/src/http_wire.cpp
+++ b/src/http_wire.cpp
@@ -24,6 +24,13 @@
     "upgrade",
 };
 
+/** Removes blanks at the end, which are not part of a header's value and which http-parser keeps.
+ */
+void trim_end(std::string& value)
+{
+    value.erase(value.find_last_not_of(" \t") + 1);
+}
+
 /** Bytes of a header line besides its name and value: colon, space and CRLF. */
 constexpr std::size_t line_overhead = 4;
 
@@ -147,6 +154,7 @@
     } else {
         this->head.status = static_cast<int>(this->parser.status_code);
         if (is_informational(this->head.status)) return without_body;
+        std::ranges::for_each(this->head.headers, trim_end, &header::value);
     }
     std::size_t size = this->head.target.size();
     for (const header& entry : this->head.headers) {
--- a/src/http_wire.h
+++ b/src/http_wire.h
@@ -2,9 +2,10 @@
  * HTTP/1.1 wire format: an incremental message reader on top of http-parser, and helpers that write
  * heads and chunks.
  *
- * Connections of callers and servers use this module because evhttp hides distinctions that request
- * forwarding needs: bytes after a complete response, a response that ended with its connection, and
- * whether a connection was used at all. All other HTTP traffic uses evhttp.
+ * Connections of the router's callers, and all connections on which responses are read, use this
+ * module because evhttp hides distinctions that request forwarding needs: bytes after a complete
+ * response, a response that ended with its connection, and whether a connection was used at all,
+ * and because evhttp accepts malformed responses. All other requests are read by evhttp.
  */
 #pragma once
 
@@ -46,9 +47,15 @@
 /** Memory that a head takes, in bytes. */
 std::size_t size_in_memory(const http_head& head);
 
-/** Step at which a response that is not well-formed fails. */
+/** Steps at which an exchange of a request and its response may fail: opening the connection,
+ * receiving the response, and parsing it. */
+constexpr std::string_view connect_step = "connect";
+constexpr std::string_view read_step = "read";
 constexpr std::string_view parse_step = "parse";
 
+/** Maximum size of a response's head, in bytes. */
+constexpr std::size_t max_response_head_bytes = std::size_t{32} * 1024;
+
 /** Result of reading input. */
 enum class read_result : std::uint8_t { need_more, message_complete, malformed, head_too_large };
 
--- a/src/server_calls.h
+++ b/src/server_calls.h
@@ -1,6 +1,5 @@
 /** \file
- * The data path of the gate: calls servers through evhttp and sends their responses to the entry VM
- * as frames.
+ * The data path of the gate: calls servers and sends their responses to the entry VM as frames.
  *
  * A request may have reached the server once a byte of it was written to the connection's output
  * buffer; a failure before that proves `not_run`. A response is complete when its Content-Length or
@@ -17,7 +16,7 @@
 
 #include <sigc++/sigc++.h>
 
-#include "event_loop.h"
+#include "client_connection.h"
 #include "messages.h"
 #include "tables.h"
 
@@ -43,6 +42,8 @@
     void sweep(instant time);
 
     [[nodiscard]] std::size_t size() const { return this->calls.size(); }
+    /** Number of calls whose response was malformed. */
+    [[nodiscard]] std::uint64_t malformed_responses() const { return this->malformed; }
 
     /** A frame for the entry VM. */
     sigc::signal<void(const vm_id&, link_message)> on_frame;
@@ -50,19 +51,21 @@
 
 private:
     struct call;
+    using connection_ptr = std::unique_ptr<client_connection>;
     struct pooled_connection {
-        event_ptr<evhttp_connection> connection;
+        connection_ptr connection;
         instant idle_since{}; ///< when it became idle
     };
 
-    event_ptr<evhttp_connection> get_connection(const server_config& server);
-    void write_request(call& server_call, evhttp_request* request) const;
-    void end(call& server_call, outcome result, bool server_fault, const char* step,
+    connection_ptr get_connection(const server_config& server);
+    void set_callbacks(call& server_call);
+    void end(call& server_call, outcome result, bool server_fault, std::string_view step,
              const std::string& detail);
-    void handle_head(call& server_call, evhttp_request* response);
-    void handle_data(call& server_call, evhttp_request* response);
+    void handle_head(call& server_call, const http_head& head);
+    void handle_data(call& server_call, std::string_view bytes);
     void flush(call& server_call);
-    void handle_end(call& server_call, evhttp_request* response);
+    void handle_end(call& server_call, const exchange_end& end);
+    void handle_complete(call& server_call);
 
     event_base* base;
     duration idle_timeout;
@@ -70,6 +73,7 @@
     std::unordered_map<attempt_id, std::unique_ptr<call>> calls;
     std::vector<std::unique_ptr<call>> finished; ///< freed in the next sweep
     std::unordered_map<server_id, std::vector<pooled_connection>> idle;
+    std::uint64_t malformed = 0;
 };
 
 } // namespace worksshift
--- a/src/server_connections.cpp
+++ b/src/server_connections.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/** Maximum size of a response's head, in bytes. */
-constexpr std::size_t max_response_head_bytes = std::size_t{32} * 1024;
-
 instant now()
 {
     return std::chrono::steady_clock::now();
--- a/src/server_connections.h
+++ b/src/server_connections.h
@@ -27,9 +27,6 @@
     broken,   ///< the request was sent, but no complete response arrived
 };
 
-/** Step of an attempt whose connection could not be opened. */
-constexpr std::string_view connect_step = "connect";
-
 /** Outcome of an attempt. */
 struct attempt_outcome {
     std::uint64_t attempt = 0;
