Calls of other processes read responses with the reader that checks them

What was seen: malformed responses of the store, of other VMs and of engines counted as responses: a page of the store's objects under a header with a blank in its name, a load or an accepted order under the status "+200" or HTTP/0.0, a part of a body under two lengths.

Cause: http_client read through evhttp, like the gates.

Change: it uses client_connection. A malformed response is none (status 0), so that the callers of http_client treat it as a failed call, as they did for cut ones; it is logged as malformed_response and counted (from="other"). The method is passed as its name, and what is left of evhttp in http_client (copying headers of requests) moves to http_frontend, its only user.

Evidence: malformed_responses_to_gates::malformed_responses_of_other_processes, malformed_load_reports_and_orders, malformed_pages_of_the_store and informational_response_before_the_answer failed before and pass.

--- a/apps/worksshift.cpp
+++ b/apps/worksshift.cpp
@@ -83,7 +83,7 @@
         if (operator_token != nullptr) this->token = operator_token;
     }
 
-    http_response call(evhttp_cmd_type method, const std::string& path, const std::string& body)
+    http_response call(std::string_view method, const std::string& path, const std::string& body)
     {
         http_response result;
         this->http.call(this->target, method, path, {{"Authorization", "Bearer " + this->token}},
@@ -172,7 +172,7 @@
 
 int print_status(client& node, bool as_json)
 {
-    const http_response response = node.call(EVHTTP_REQ_GET, "/admin/status", {});
+    const http_response response = node.call("GET", "/admin/status", {});
     if (as_json || response.status != 200) return print(response);
     const json status = json::parse(response.body);
     std::cout << "revision " << status["revision"] << "  requests " << status["requests"]
@@ -215,11 +215,11 @@
     constexpr auto poll_interval = milliseconds(200);
     std::uint64_t revision = 0; // the called node's once the plan is in force there; 0 until then
     for (int poll = 0; poll < max_polls; ++poll, std::this_thread::sleep_for(poll_interval)) {
-        const http_response response = node.call(EVHTTP_REQ_GET, "/admin/status", {});
+        const http_response response = node.call("GET", "/admin/status", {});
         if (response.status != 200) return print(response);
         const json status = json::parse(response.body);
         if (revision == 0) {
-            const http_response shown = node.call(EVHTTP_REQ_GET, "/admin/plans/" + id, {});
+            const http_response shown = node.call("GET", "/admin/plans/" + id, {});
             if (shown.status != 200) return print(shown);
             if (json::parse(shown.body)["applied"] != true) {
                 std::cout << "plan " << id << " is not confirmed\n";
@@ -261,24 +261,23 @@
     client node;
     if (command == "status")
         return print_status(node, arguments.size() > 1 && arguments[1] == "--json");
-    if (command == "config") return print(node.call(EVHTTP_REQ_GET, "/admin/config", {}));
+    if (command == "config") return print(node.call("GET", "/admin/config", {}));
     if (command == "bootstrap") {
-        return print(node.call(EVHTTP_REQ_POST, "/admin/bootstrap", read_file(arguments.at(1))));
+        return print(node.call("POST", "/admin/bootstrap", read_file(arguments.at(1))));
     }
     if (command == "plan") {
-        return print(node.call(EVHTTP_REQ_POST, "/admin/plans", read_intent(arguments).dump()));
+        return print(node.call("POST", "/admin/plans", read_intent(arguments).dump()));
     }
     if (command == "rollback") {
         const json intent{{"kind", "rollback"}, {"plan", arguments.at(1)}};
-        return print(node.call(EVHTTP_REQ_POST, "/admin/plans", intent.dump()));
+        return print(node.call("POST", "/admin/plans", intent.dump()));
     }
-    if (command == "history") return print(node.call(EVHTTP_REQ_GET, "/admin/history", {}));
+    if (command == "history") return print(node.call("GET", "/admin/history", {}));
     if (command == "show") {
-        return print(node.call(EVHTTP_REQ_GET, "/admin/plans/" + arguments.at(1), {}));
+        return print(node.call("GET", "/admin/plans/" + arguments.at(1), {}));
     }
     if (command == "confirm") {
-        return print(
-            node.call(EVHTTP_REQ_POST, "/admin/plans/" + arguments.at(1) + "/confirm", {}));
+        return print(node.call("POST", "/admin/plans/" + arguments.at(1) + "/confirm", {}));
     }
     if (command == "watch") return watch(node, arguments.at(1));
     throw user_error("usage", "", "there is no command " + command);
--- a/src/config_follower.cpp
+++ b/src/config_follower.cpp
@@ -100,23 +100,23 @@
     if (peer == nullptr) return;
     this->follow.fetching.begin();
     const link_address from = this->gossip.address_of(*peer);
-    this->caller.call(
-        from, EVHTTP_REQ_GET, config_path, {}, {}, {peer_fetch_schedule::call_timeout},
-        [this, from](const http_response& response) {
-            this->follow.fetching.end(std::chrono::steady_clock::now());
-            if (response.status != ok) {
-                log_event(log_level::warn, "config_not_fetched",
-                          {{"peer", from.address}, {"status", response.status}});
-                return;
-            }
-            try {
-                this->apply(unpack(response.body, from.address), from.address);
-            } catch (const error& fault) {
-                log_event(
-                    log_level::error, "config_unreadable",
-                    {{"source", from.address}, {"step", fault.step}, {"reason", fault.what()}});
-            }
-        });
+    this->caller.call(from, "GET", config_path, {}, {}, {peer_fetch_schedule::call_timeout},
+                      [this, from](const http_response& response) {
+                          this->follow.fetching.end(std::chrono::steady_clock::now());
+                          if (response.status != ok) {
+                              log_event(log_level::warn, "config_not_fetched",
+                                        {{"peer", from.address}, {"status", response.status}});
+                              return;
+                          }
+                          try {
+                              this->apply(unpack(response.body, from.address), from.address);
+                          } catch (const error& fault) {
+                              log_event(log_level::error, "config_unreadable",
+                                        {{"source", from.address},
+                                         {"step", fault.step},
+                                         {"reason", fault.what()}});
+                          }
+                      });
 }
 
 void config_follower::serve(evhttp_request* request) const
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -497,6 +497,8 @@
         << "worksshift_internal_connections_closed_total " << this->admin->closed_for_room() << '\n'
         << "worksshift_malformed_responses_total{from=\"server\"} "
         << this->calls.malformed_responses() << '\n'
+        << "worksshift_malformed_responses_total{from=\"other\"} "
+        << this->http.malformed_responses() << '\n'
         << "worksshift_platform_calls_total " << this->platform.calls() << '\n'
         << "worksshift_config_revision " << this->published_revision << '\n';
     this->memory.write_metrics(out);
--- a/src/engine_client.cpp
+++ b/src/engine_client.cpp
@@ -51,8 +51,7 @@
         completed.versions = read_versions(body);
         done(std::move(completed));
     };
-    this->http.call({engine.address, engine.port}, EVHTTP_REQ_GET, "/load", {}, {}, {load_timeout},
-                    handle);
+    this->http.call({engine.address, engine.port}, "GET", "/load", {}, {}, {load_timeout}, handle);
 }
 
 void engine_client::send_order(const start_order& order, order_handler done)
@@ -67,7 +66,7 @@
         const std::uint64_t known_fence = refused ? read_unsigned(body, "fence").value_or(0) : 0;
         done({server, response.status == status_ok, known_fence});
     };
-    this->http.call({order.server.address, order.server.port}, EVHTTP_REQ_POST, "/orders", {},
+    this->http.call({order.server.address, order.server.port}, "POST", "/orders", {},
                     order_body.dump(), {order_timeout}, handle);
 }
 
--- a/src/http_frontend.cpp
+++ b/src/http_frontend.cpp
@@ -7,7 +7,6 @@
 #include <event2/keyvalq_struct.h>
 #include <nlohmann/json.hpp>
 
-#include "http_client.h"
 #include "log.h"
 
 namespace worksshift {
@@ -42,6 +41,15 @@
     }
 }
 
+std::vector<header> copy_headers(const evkeyvalq* list)
+{
+    std::vector<header> copied;
+    for (const evkeyval* entry = list->tqh_first; entry != nullptr; entry = entry->next.tqe_next) {
+        copied.push_back({entry->key, entry->value});
+    }
+    return copied;
+}
+
 const char* outcome_name(outcome result)
 {
     switch (result) {
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -120,8 +120,8 @@
     };
     std::string path = object_path(call.name);
     if (call.write) path += "?if_version=" + std::to_string(call.expected_version);
-    this->http.call(this->address, call.write ? EVHTTP_REQ_PUT : EVHTTP_REQ_GET, path, {},
-                    call.value, {call_timeout}, done);
+    this->http.call(this->address, call.write ? "PUT" : "GET", path, {}, call.value, {call_timeout},
+                    done);
 }
 
 void platform_client::watch(const std::string& name, std::uint64_t version, object_handler handler)
@@ -135,8 +135,8 @@
     };
     const std::string path = object_path(name) + "?after=" + std::to_string(version) +
                              "&wait_s=" + std::to_string(watch_timeout_s);
-    this->http.call(this->address, EVHTTP_REQ_GET, path, {}, {},
-                    {seconds(watch_timeout_s) + call_timeout}, done);
+    this->http.call(this->address, "GET", path, {}, {}, {seconds(watch_timeout_s) + call_timeout},
+                    done);
 }
 
 void platform_client::list_vms(list_handler handler)
@@ -158,7 +158,7 @@
             handler(std::nullopt);
         }
     };
-    this->http.call(this->address, EVHTTP_REQ_GET, "/v1/vms", {}, {}, {call_timeout}, done);
+    this->http.call(this->address, "GET", "/v1/vms", {}, {}, {call_timeout}, done);
 }
 
 std::vector<listed_vm> parse_vm_list(const std::string& body)
--- a/src/registry_follower.cpp
+++ b/src/registry_follower.cpp
@@ -84,7 +84,7 @@
     const link_address from = this->gossip.address_of(*newest);
     const std::string path =
         std::string(registry_path) + "?" + since_parameter + "=" + std::to_string(own);
-    this->caller.call(from, EVHTTP_REQ_GET, path, {}, {}, {peer_fetch_schedule::call_timeout},
+    this->caller.call(from, "GET", path, {}, {}, {peer_fetch_schedule::call_timeout},
                       [this, from, now](const http_response& response) {
                           this->follow.fetching.end(std::chrono::steady_clock::now());
                           this->handle_response(response, from.address, now);
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -316,7 +316,7 @@
         const std::string path =
             this->adapter.list_path(object_kind::evacuations, {}, read_mode::stale);
         this->client.call(
-            this->options.store, EVHTTP_REQ_GET, path, {}, {}, {store_path_check::timeout},
+            this->options.store, "GET", path, {}, {}, {store_path_check::timeout},
             [this](const http_response& response) {
                 const bool refused =
                     response.status == too_many_requests || response.status >= server_error;
@@ -535,6 +535,8 @@
              << this->callers.slow_clients_closed(reason) << '\n';
     }
     text << "worksshift_server_connections_opened_total " << this->connection_pool.opened() << '\n';
+    text << "worksshift_malformed_responses_total{from=\"other\"} "
+         << this->client.malformed_responses() << '\n';
     text << "worksshift_config_version " << this->configuration.version() << '\n';
     text << "worksshift_registry_watched " << (this->watch_role.watching() ? 1 : 0) << '\n';
     text << "worksshift_store_reader " << (this->reads_store ? 1 : 0) << '\n';
--- a/src/store_watch_client.cpp
+++ b/src/store_watch_client.cpp
@@ -55,7 +55,7 @@
                 }},
         call.operation);
     this->newest_call =
-        this->caller.call(this->store, EVHTTP_REQ_GET, path, {}, {}, call.limit,
+        this->caller.call(this->store, "GET", path, {}, {}, call.limit,
                           [this, number = call.number](const http_response& response) {
                               this->handle_response(number, response);
                           });
--- a/test/error/lost_peers_are_detected_in_time.cpp
+++ b/test/error/lost_peers_are_detected_in_time.cpp
@@ -129,7 +129,7 @@
             return scripted_response{{}, then::stay_silent};
         });
         http_client client(base.get());
-        client.call(server.address(), EVHTTP_REQ_GET, "/", {}, {}, {seconds(10), {}},
+        client.call(server.address(), "GET", "/", {}, {}, {seconds(10), {}},
                     [](const http_response&) {});
         for (int i = 0; i < 1000 && server.requests.empty(); ++i)
             event_base_loop(base.get(), EVLOOP_ONCE);
--- a/test/error/malformed_responses_to_gates.cpp
+++ b/test/error/malformed_responses_to_gates.cpp
@@ -108,7 +108,7 @@
     {
         bool ended = false;
         http_response received;
-        this->client->call(server.address(), EVHTTP_REQ_GET, "/x", {}, {}, {seconds(2)},
+        this->client->call(server.address(), "GET", "/x", {}, {}, {seconds(2)},
                            [&](const http_response& response) {
                                received = response;
                                ended = true;
