A part of a response whose connection is reset is not taken for the whole

What callers saw: a server answered an upload at once with a 200 without a length, sent a part, ended its output and reset the connection while the upload was being written; the caller got the part as a complete, signed response.

Cause: a response without a length ends with its connection, and a read reports an end of input as soon as the server's output has ended, even if a reset has arrived since. server_connections looked at nothing else.

Change: such an end counts only if the whole request was sent and acknowledged and no error is pending on the socket (ended_in_order). Otherwise the response is broken: 502, or another attempt where the route allows it.

Ruled out: the error of a write that flush_output drops, after which reads end as if in order. After the failed write the output is not empty, so the socket is polled for writing, too, and the write event fails in the turn of the loop that reads the rest, before the end is read. after_a_failed_write passed before any change; flush_output is unchanged.

Evidence: responses_cut_by_a_reset::during_an_upload, during_the_upload_of_a_stream and during_an_upload_to_another_vm (uploads of 60 kB to 4 MB, parts of 0 to 100,000 bytes, reset 0 to 20 ms after) failed before, 62 times, always after an end of output, and pass. A plain reset was handled before. orderly_end_of_a_response_without_length guards against refusing a response whose server read the upload.

--- a/src/server_connections.cpp
+++ b/src/server_connections.cpp
@@ -209,7 +209,7 @@
     }
     const bool clean = (events & BEV_EVENT_EOF) != 0;
     if (clean && connection->attempt != 0 && !connection->skipping &&
-        connection->reader.head_complete() &&
+        connection->reader.head_complete() && ended_in_order(connection->socket.get()) &&
         connection->reader.read_eof() == read_result::message_complete) {
         connection->close_after = true;
         this->finish_response(connection);
