A response that came before its request does not answer it

Cause: take_idle looked for bytes that the loop had read, not for those that the system still held. Error responses need no request id.

Change: a connection on which anything waits, bytes, an end or an error, is closed in place of being used.

Evidence: responses_cut_by_a_reset::sent_before_the_request failed before and passes: the request goes out on a new connection.

--- a/src/server_connections.cpp
+++ b/src/server_connections.cpp
@@ -109,8 +109,8 @@
         }
         if (!request.repeatable && age > max_reuse_age) return nullptr;
         pool->second.pop_back();
-        const bool stray = evbuffer_get_length(bufferevent_get_input(connection->socket.get())) > 0;
-        if (!connection->is_closed && !stray) return connection;
+        const bool quiet = !connection->is_closed && is_quiet(connection->socket.get());
+        if (quiet) return connection;
         this->drop(*connection);
     }
     return nullptr;
