Simpler: tests of responses share how they ask and the stream of three events

path_rig::ask stood in invalid_server_responses, and again in malformed_server_responses; the stream of three events in streams_that_break, too. An incomplete response within five seconds still fails the test, now with the bytes received.

--- a/test/error/invalid_server_responses.cpp
+++ b/test/error/invalid_server_responses.cpp
@@ -43,21 +43,6 @@
         return {response_text(200, request, "good"), then::keep};
     }
 
-    /** Sends one request and returns the complete response. */
-    std::string ask(const std::string& text)
-    {
-        raw_caller& caller = this->rig->add_caller();
-        caller.send(text);
-        const auto complete = [&caller] {
-            const std::string length = header_in(caller.received, "content-length");
-            const bool full_length =
-                !length.empty() && body_in(caller.received).size() >= std::stoul(length);
-            return full_length || caller.received.ends_with("0\r\n\r\n") || caller.closed;
-        };
-        CPPUNIT_ASSERT(this->rig->run_until(complete));
-        return caller.received;
-    }
-
     static int status_of(const std::string& response)
     {
         return response.size() < 12 ? 0 : std::stoi(response.substr(9, 3));
@@ -82,7 +67,7 @@
         };
         this->rig->add_server("a", "desk", first_is_truncated);
         this->rig->add_server("b", "desk", first_is_truncated);
-        const std::string response = this->ask(request_text("GET", "/safe/x", "1"));
+        const std::string response = this->rig->ask(request_text("GET", "/safe/x", "1"));
         CPPUNIT_ASSERT_EQUAL(200, status_of(response));
         CPPUNIT_ASSERT_EQUAL(std::string("good"), body_in(response));
     }
@@ -96,7 +81,7 @@
         };
         scripted_server& a = this->rig->add_server("a", "desk", truncated);
         scripted_server& b = this->rig->add_server("b", "desk", truncated);
-        const std::string response = this->ask(request_text("POST", "/unsafe/x", "1", "{}"));
+        const std::string response = this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
         CPPUNIT_ASSERT_EQUAL(502, status_of(response));
         CPPUNIT_ASSERT(header_in(response, "x-response-signature").empty());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, a.requests.size() + b.requests.size());
@@ -108,7 +93,7 @@
         this->rig->add_server("a", "desk", [](const std::string&) -> scripted_response {
             return {"\x01\x02 nothing like an answer\r\n\r\n", then::keep};
         });
-        const std::string response = this->ask(request_text("POST", "/unsafe/x", "1", "{}"));
+        const std::string response = this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
         CPPUNIT_ASSERT_EQUAL(502, status_of(response));
     }
 
@@ -122,7 +107,7 @@
                 return {text + text, then::keep};
             });
         for (const std::string id : {"11", "12", "13"}) {
-            CPPUNIT_ASSERT_EQUAL(id, body_in(this->ask(request_text("GET", "/safe/x", id))));
+            CPPUNIT_ASSERT_EQUAL(id, body_in(this->rig->ask(request_text("GET", "/safe/x", id))));
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, server.connections);
     }
@@ -139,7 +124,7 @@
                         then::keep};
             });
         for (const std::string id : {"21", "22"}) {
-            CPPUNIT_ASSERT_EQUAL(id, body_in(this->ask(request_text("GET", "/safe/x", id))));
+            CPPUNIT_ASSERT_EQUAL(id, body_in(this->rig->ask(request_text("GET", "/safe/x", id))));
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.connections);
     }
@@ -156,7 +141,7 @@
         this->rig->add_server("a", "desk", [](const std::string& request) -> scripted_response {
             return {without_length(request), then::close};
         });
-        const std::string response = this->ask(request_text("POST", "/unsafe/x", "1", "{}"));
+        const std::string response = this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
         CPPUNIT_ASSERT_EQUAL(200, status_of(response));
         CPPUNIT_ASSERT_EQUAL(std::string("to the end"), body_in(response));
     }
@@ -168,7 +153,7 @@
         this->rig->add_server("a", "desk", [](const std::string& request) -> scripted_response {
             return {without_length(request), then::reset};
         });
-        const std::string response = this->ask(request_text("POST", "/unsafe/x", "1", "{}"));
+        const std::string response = this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
         CPPUNIT_ASSERT_EQUAL(502, status_of(response));
     }
 
@@ -188,7 +173,7 @@
                     "s\r\nContent-Length: 0\r\n\r\n");
         CPPUNIT_ASSERT(this->rig->run_until([&] { return !caller.received.empty(); }));
         CPPUNIT_ASSERT_EQUAL(400, status_of(caller.received));
-        const std::string next = this->ask(request_text("POST", "/unsafe/x", "32", "{}"));
+        const std::string next = this->rig->ask(request_text("POST", "/unsafe/x", "32", "{}"));
         CPPUNIT_ASSERT_EQUAL(200, status_of(next));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.connections);
     }
@@ -201,7 +186,8 @@
                 return {response_text(200, request, "good"), then::close};
             });
         for (const std::string id : {"41", "42"}) {
-            const std::string response = this->ask(request_text("POST", "/unsafe/x", id, "{}"));
+            const std::string response =
+                this->rig->ask(request_text("POST", "/unsafe/x", id, "{}"));
             CPPUNIT_ASSERT_EQUAL(200, status_of(response));
             this->rig->run_for(milliseconds(20));
         }
@@ -213,14 +199,14 @@
     void non_idempotent_request_uses_a_fresh_connection()
     {
         scripted_server& server = this->rig->add_server("a", "desk", good);
-        this->ask(request_text("GET", "/safe/x", "1"));
+        this->rig->ask(request_text("GET", "/safe/x", "1"));
         this->rig->run_for(max_reuse_age + milliseconds(100));
-        this->ask(request_text("GET", "/safe/x", "2"));
+        this->rig->ask(request_text("GET", "/safe/x", "2"));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.connections);
-        this->ask(request_text("POST", "/unsafe/x", "3", "{}"));
+        this->rig->ask(request_text("POST", "/unsafe/x", "3", "{}"));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.connections);
         this->rig->run_for(max_reuse_age + milliseconds(100));
-        this->ask(request_text("POST", "/unsafe/x", "4", "{}"));
+        this->rig->ask(request_text("POST", "/unsafe/x", "4", "{}"));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.connections);
     }
 
@@ -234,7 +220,8 @@
         scripted_server& a = this->rig->add_server("a", "desk", other);
         this->rig->add_server("b", "desk", good);
         for (const std::string id : {"51", "52", "53", "54"}) {
-            const std::string response = this->ask(request_text("POST", "/unsafe/x", id, "{}"));
+            const std::string response =
+                this->rig->ask(request_text("POST", "/unsafe/x", id, "{}"));
             CPPUNIT_ASSERT_EQUAL(200, status_of(response));
         }
         // After the first 421 no further request is sent to it.
@@ -255,7 +242,7 @@
         };
         this->rig->add_server("a", "desk", first_refuses);
         this->rig->add_server("b", "desk", first_refuses);
-        const std::string response = this->ask(request_text("POST", "/unsafe/x", "1", "{}"));
+        const std::string response = this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
         CPPUNIT_ASSERT_EQUAL(200, status_of(response));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sent);
     }
@@ -265,7 +252,7 @@
     {
         this->rig->add_server("a", "desk", refuse);
         this->rig->add_server("b", "desk", refuse);
-        const std::string response = this->ask(request_text("POST", "/unsafe/x", "1", "{}"));
+        const std::string response = this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
         CPPUNIT_ASSERT_EQUAL(503, status_of(response));
         CPPUNIT_ASSERT(!header_in(response, "retry-after").empty());
     }
@@ -276,7 +263,7 @@
         this->rig->add_server("a", "desk", [](const std::string& request) -> scripted_response {
             return {response_text(503, request, "ran"), then::keep};
         });
-        const std::string response = this->ask(request_text("POST", "/unsafe/x", "1", "{}"));
+        const std::string response = this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
         CPPUNIT_ASSERT_EQUAL(502, status_of(response));
     }
 
@@ -286,7 +273,7 @@
         this->rig->add_server("a", "desk", [](const std::string& request) -> scripted_response {
             return {response_text(500, request, "its own words"), then::keep};
         });
-        const std::string response = this->ask(request_text("POST", "/unsafe/x", "1", "{}"));
+        const std::string response = this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
         CPPUNIT_ASSERT_EQUAL(500, status_of(response));
         CPPUNIT_ASSERT_EQUAL(std::string("sig"), header_in(response, "x-response-signature"));
         CPPUNIT_ASSERT_EQUAL(std::string("its own words"), body_in(response));
@@ -302,10 +289,11 @@
         record.address = {"127.0.0.1", free_port()};
         record.data_centre.text = "dc";
         this->rig->table.put(record);
-        const std::string without_server = this->ask(request_text("POST", "/unsafe/x", "1", "{}"));
+        const std::string without_server =
+            this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
         CPPUNIT_ASSERT_EQUAL(503, status_of(without_server));
         this->rig->add_server("b", "desk", good);
-        const std::string response = this->ask(request_text("POST", "/unsafe/x", "2", "{}"));
+        const std::string response = this->rig->ask(request_text("POST", "/unsafe/x", "2", "{}"));
         CPPUNIT_ASSERT_EQUAL(200, status_of(response));
     }
 
@@ -319,7 +307,7 @@
         };
         scripted_server& a = this->rig->add_server("a", "desk", first_is_silent);
         scripted_server& b = this->rig->add_server("b", "desk", first_is_silent);
-        const std::string response = this->ask(request_text("GET", "/safe/x", "1"));
+        const std::string response = this->rig->ask(request_text("GET", "/safe/x", "1"));
         CPPUNIT_ASSERT_EQUAL(200, status_of(response));
         CPPUNIT_ASSERT(this->rig->run_until([&] { return a.closed + b.closed == 1; }));
     }
@@ -337,7 +325,8 @@
         scripted_server& b = this->rig->add_server("b", "desk", good);
         this->rig->run_for(server_entry::unresponsive_after + milliseconds(50));
         for (const std::string id : {"2", "3", "4", "5", "6", "7", "8"}) {
-            const std::string response = this->ask(request_text("POST", "/unsafe/x", id, "{}"));
+            const std::string response =
+                this->rig->ask(request_text("POST", "/unsafe/x", id, "{}"));
             CPPUNIT_ASSERT_EQUAL(200, status_of(response));
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, a.requests.size());
@@ -352,7 +341,7 @@
             this->rig->add_server("a", "desk", [](const std::string&) -> scripted_response {
                 return {"", then::stay_silent};
             });
-        const std::string response = this->ask(request_text("POST", "/unsafe/x", "1", "{}"));
+        const std::string response = this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
         CPPUNIT_ASSERT_EQUAL(504, status_of(response));
         CPPUNIT_ASSERT(this->rig->run_until([&] { return server.closed == 1; }));
     }
--- a/test/error/malformed_server_responses.cpp
+++ b/test/error/malformed_server_responses.cpp
@@ -50,21 +50,6 @@
         return response.size() < 12 ? 0 : std::stoi(response.substr(9, 3));
     }
 
-    /** Sends one request and returns what the caller received until its response was complete. */
-    std::string ask(const std::string& text)
-    {
-        raw_caller& caller = this->rig->add_caller();
-        caller.send(text);
-        const auto complete = [&caller] {
-            const std::string length = header_in(caller.received, "content-length");
-            const bool full_length =
-                !length.empty() && body_in(caller.received).size() >= std::stoul(length);
-            return full_length || caller.received.ends_with("0\r\n\r\n") || caller.closed;
-        };
-        CPPUNIT_ASSERT(this->rig->run_until(complete));
-        return caller.received;
-    }
-
     /** Each of \p responses, to a request that must not be repeated, becomes a 502 that nobody
      * signed. */
     void become_502(const std::vector<malformed_response>& responses)
@@ -76,7 +61,8 @@
                 "a", "desk", [&broken](const std::string& request) -> scripted_response {
                     return {broken.bytes(proof(request)), then::close};
                 });
-            const std::string response = this->ask(request_text("POST", "/unsafe/x", "1", "{}"));
+            const std::string response =
+                this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
             const bool refused = response.starts_with("HTTP/1.1 502 ") &&
                                  header_in(response, "x-response-signature").empty() &&
                                  response.find("whole") == std::string::npos;
@@ -115,7 +101,7 @@
             };
             this->rig->add_server("a", "desk", first_is_malformed);
             this->rig->add_server("b", "desk", first_is_malformed);
-            const std::string response = this->ask(request_text("GET", "/safe/x", "1"));
+            const std::string response = this->rig->ask(request_text("GET", "/safe/x", "1"));
             if (status_of(response) != 200 || body_in(response) != "good")
                 failed += "[" + broken.name + "] ";
         }
@@ -152,11 +138,11 @@
                 return {"HTTP/1.1 000 X\r\n" + proof(request) + "Content-Length: 0\r\n\r\n",
                         then::keep};
             });
-        CPPUNIT_ASSERT_EQUAL(502,
-                             status_of(this->ask(request_text("POST", "/unsafe/x", "1", "{}"))));
+        CPPUNIT_ASSERT_EQUAL(
+            502, status_of(this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"))));
         CPPUNIT_ASSERT(this->rig->run_until([&] { return server.closed == 1; }));
-        CPPUNIT_ASSERT_EQUAL(200,
-                             status_of(this->ask(request_text("POST", "/unsafe/x", "2", "{}"))));
+        CPPUNIT_ASSERT_EQUAL(
+            200, status_of(this->rig->ask(request_text("POST", "/unsafe/x", "2", "{}"))));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.connections);
     }
 
@@ -167,7 +153,7 @@
             return {"HTTP/1.1 000 X\r\n" + proof(request) + "Content-Length: 0\r\n\r\n",
                     then::keep};
         });
-        this->ask(request_text("POST", "/unsafe/x", "1", "{}"));
+        this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
         const std::string expected = "worksshift_malformed_responses_total{from=\"server\"} 1\n";
         CPPUNIT_ASSERT(this->rig->telemetry.text().find(expected) != std::string::npos);
     }
@@ -183,7 +169,7 @@
         scripted_server& sound = this->rig->add_server("b", "desk", good);
         const instant start = std::chrono::steady_clock::now();
         for (int id = 1; id <= 40; ++id)
-            this->ask(request_text("POST", "/unsafe/x", std::to_string(id), "{}"));
+            this->rig->ask(request_text("POST", "/unsafe/x", std::to_string(id), "{}"));
         const duration elapsed = std::chrono::steady_clock::now() - start;
         CPPUNIT_ASSERT_EQUAL(std::size_t{40}, faulty.requests.size() + sound.requests.size());
         // It is paused once its failures weigh 2.5, which fade, and then gets one trial a pause.
@@ -192,21 +178,11 @@
         CPPUNIT_ASSERT(faulty.requests.size() <= until_paused + pauses);
     }
 
-    /** The events after `Last-Event-Id` up to the third, and the end of the stream. */
-    static scripted_response events_to_the_end(const std::string& request)
-    {
-        const std::string last = header_in(request, "last-event-id");
-        std::string text = stream_head(request);
-        for (unsigned id = last.empty() ? 1 : std::stoul(last) + 1; id <= 3; ++id)
-            text += event_chunk(id, "d" + std::to_string(id));
-        return {text + "0\r\n\r\n", then::keep};
-    }
-
-    /** The stream of `events_to_the_end` under another status line and one more header. */
+    /** The stream of `events_to_the_third` under another status line and one more header. */
     static scripted_response malformed_stream(const std::string& request,
                                               const malformed_response& broken)
     {
-        std::string text = events_to_the_end(request).bytes;
+        std::string text = events_to_the_third(request).bytes;
         text.replace(0, text.find("\r\n") + 2, broken.status_line + "\r\n");
         const std::size_t end_of_proof = text.find("Content-Type");
         return {text.insert(end_of_proof, broken.headers), then::close};
@@ -223,11 +199,6 @@
                 {"coding", "HTTP/1.1 200 OK", "Transfer-Encoding: gzip\r\n", ""}};
     }
 
-    static std::string all_events()
-    {
-        return "id: 1\ndata: d1\n\nid: 2\ndata: d2\n\nid: 3\ndata: d3\n\n";
-    }
-
     /** Guards against passing on events under a malformed head, or failing a stream that another
      * server can begin. */
     void before_the_first_event()
@@ -236,13 +207,15 @@
             this->setUp();
             std::size_t sent = 0;
             const auto answer = [&](const std::string& request) {
-                return ++sent == 1 ? malformed_stream(request, broken) : events_to_the_end(request);
+                return ++sent == 1 ? malformed_stream(request, broken)
+                                   : events_to_the_third(request);
             };
             this->rig->add_server("a", "llm", answer);
             this->rig->add_server("b", "llm", answer);
-            const std::string response = this->ask(request_text("POST", "/stream/x", "1", "{}"));
+            const std::string response =
+                this->rig->ask(request_text("POST", "/stream/x", "1", "{}"));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.name, 200, status_of(response));
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.name, all_events(), body_in(response));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.name, three_events(), body_in(response));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.name, std::size_t{2}, sent);
         }
     }
@@ -260,7 +233,8 @@
             };
             this->rig->add_server("a", "llm", answer);
             this->rig->add_server("b", "llm", answer);
-            const std::string response = this->ask(request_text("POST", "/stream/x", "1", "{}"));
+            const std::string response =
+                this->rig->ask(request_text("POST", "/stream/x", "1", "{}"));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.name, std::size_t{2}, sent);
             CPPUNIT_ASSERT_MESSAGE(broken.name, !response.ends_with("0\r\n\r\n"));
             CPPUNIT_ASSERT_MESSAGE(broken.name, response.find("d1") != std::string::npos);
@@ -311,7 +285,8 @@
             this->rig->add_server("a", "desk", [&](const std::string& request) {
                 return scripted_response{head + good(request).bytes, then::keep};
             });
-            const std::string response = this->ask(request_text("POST", "/unsafe/x", "1", "{}"));
+            const std::string response =
+                this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(head, 200, status_of(response));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(head, std::string("good"), body_in(response));
             CPPUNIT_ASSERT_MESSAGE(head, response.find("X Y") == std::string::npos);
--- a/test/error/streams_that_break.cpp
+++ b/test/error/streams_that_break.cpp
@@ -28,29 +28,13 @@
 
     std::unique_ptr<path_rig> rig;
 
-    /** The events after `Last-Event-Id` up to the third, and the end of the stream. */
-    static scripted_response events_to_the_end(const std::string& request)
-    {
-        const std::string last = header_in(request, "last-event-id");
-        std::string text = stream_head(request);
-        for (unsigned id = last.empty() ? 1 : std::stoul(last) + 1; id <= 3; ++id) {
-            text += event_chunk(id, "d" + std::to_string(id));
-        }
-        return {text + "0\r\n\r\n", then::keep};
-    }
-
-    static std::string all_events()
-    {
-        return "id: 1\ndata: d1\n\nid: 2\ndata: d2\n\nid: 3\ndata: d3\n\n";
-    }
-
     /** Sends a request to one of two servers. The first send is answered by \p broken, the next one
      * with the rest of the stream. */
     raw_caller& ask_two(const scripted_server::script& broken, const std::string& target)
     {
         auto sends = std::make_shared<std::size_t>(0);
         const auto answer = [sends, broken](const std::string& request) {
-            return ++*sends == 1 ? broken(request) : events_to_the_end(request);
+            return ++*sends == 1 ? broken(request) : events_to_the_third(request);
         };
         this->rig->add_server("a", "llm", answer);
         this->rig->add_server("b", "llm", answer);
@@ -74,9 +58,9 @@
     /** Guards against changing or holding back an unbroken stream. */
     void unbroken()
     {
-        raw_caller& caller = this->ask_two(events_to_the_end, "/stream/x");
+        raw_caller& caller = this->ask_two(events_to_the_third, "/stream/x");
         CPPUNIT_ASSERT(this->rig->run_until([&] { return appears_complete(caller); }));
-        CPPUNIT_ASSERT_EQUAL(all_events(), body_in(caller.received));
+        CPPUNIT_ASSERT_EQUAL(three_events(), body_in(caller.received));
     }
 
     /** Guards against a lost, repeated or partial event when a server resets midway in an event. */
@@ -88,7 +72,7 @@
         };
         raw_caller& caller = this->ask_two(broken, "/stream/x");
         CPPUNIT_ASSERT(this->rig->run_until([&] { return appears_complete(caller); }));
-        CPPUNIT_ASSERT_EQUAL(all_events(), body_in(caller.received));
+        CPPUNIT_ASSERT_EQUAL(three_events(), body_in(caller.received));
         // The second server gets the last event id, so that it does not produce the first event
         // again.
         std::vector<std::string> last_event_ids;
@@ -110,7 +94,7 @@
         };
         raw_caller& caller = this->ask_two(broken, "/stream/x");
         CPPUNIT_ASSERT(this->rig->run_until([&] { return appears_complete(caller); }));
-        CPPUNIT_ASSERT_EQUAL(all_events(), body_in(caller.received));
+        CPPUNIT_ASSERT_EQUAL(three_events(), body_in(caller.received));
     }
 
     /** Guards against a broken stream that appears complete, or is resumed, on a route without
@@ -129,7 +113,7 @@
     /** Guards against ignoring the `Last-Event-Id` of the caller. */
     void caller_resumes()
     {
-        this->rig->add_server("a", "llm", events_to_the_end);
+        this->rig->add_server("a", "llm", events_to_the_third);
         this->rig->age_known_servers();
         raw_caller& caller = this->rig->add_caller();
         std::string text = request_text("POST", "/stream/x", "1", "{}");
@@ -163,7 +147,7 @@
         };
         raw_caller& caller = this->ask_two(stuck, "/stream/x");
         CPPUNIT_ASSERT(this->rig->run_until([&] { return appears_complete(caller); }));
-        CPPUNIT_ASSERT_EQUAL(all_events(), body_in(caller.received));
+        CPPUNIT_ASSERT_EQUAL(three_events(), body_in(caller.received));
     }
 };
 
--- a/test/support/path_rig.cpp
+++ b/test/support/path_rig.cpp
@@ -239,6 +239,21 @@
     return *this->raw_callers.back();
 }
 
+std::string path_rig::ask(const std::string& request)
+{
+    raw_caller& caller = this->add_caller();
+    caller.send(request);
+    const auto complete = [&caller] {
+        const std::string length = header_in(caller.received, "content-length");
+        const bool full_length =
+            !length.empty() && body_in(caller.received).size() >= std::stoul(length);
+        return full_length || caller.received.ends_with("0\r\n\r\n") || caller.closed;
+    };
+    if (!this->run_until(complete))
+        throw std::runtime_error("no complete response, but \"" + caller.received + "\"");
+    return caller.received;
+}
+
 void path_rig::age_known_servers()
 {
     const instant now = std::chrono::steady_clock::now();
@@ -344,6 +359,20 @@
     return size + event + "\r\n";
 }
 
+scripted_response events_to_the_third(const std::string& request)
+{
+    const std::string last = header_in(request, "last-event-id");
+    std::string text = stream_head(request);
+    for (unsigned id = last.empty() ? 1 : std::stoul(last) + 1; id <= 3; ++id)
+        text += event_chunk(id, "d" + std::to_string(id));
+    return {text + "0\r\n\r\n", scripted_response::then::keep};
+}
+
+std::string three_events()
+{
+    return "id: 1\ndata: d1\n\nid: 2\ndata: d2\n\nid: 3\ndata: d3\n\n";
+}
+
 std::string header_in(const std::string& text, const std::string& name)
 {
     std::string_view rest = std::string_view(text).substr(0, text.find(head_end));
--- a/test/support/path_rig.h
+++ b/test/support/path_rig.h
@@ -103,6 +103,9 @@
     scripted_server& add_server(const std::string& id, const std::string& service,
                                 scripted_server::script answer, const std::string& version = "v1");
     raw_caller& add_caller(int receive_buffer = 0);
+    /** Sends one request on a new connection and returns all bytes received until its response was
+     * complete or the connection was closed. \throws std::runtime_error after five seconds. */
+    std::string ask(const std::string& request);
     /** From now on the VM has known its servers for longer than streams can be taken up. */
     void age_known_servers();
     [[nodiscard]] std::vector<const scripted_server*> all_servers() const;
@@ -148,6 +151,10 @@
 std::string stream_head(const std::string& request);
 /** One event as an HTTP chunk. */
 std::string event_chunk(unsigned id, const std::string& data);
+/** A stream of the events after the request's `Last-Event-Id` up to the third, with its end. */
+scripted_response events_to_the_third(const std::string& request);
+/** The three events of `events_to_the_third`. */
+std::string three_events();
 /** Size in bytes of the first request in \p bytes; 0 if it is incomplete. */
 std::size_t request_size(const std::string& bytes);
 /** Value of a header in a raw message; empty if there is none. */
