Simpler: a request that waits for its connection stands in one buffer

client_connection kept head and body as strings and copied them into the socket's buffer; the buffer is moved now, so that a body is held once.

--- a/src/client_connection.cpp
+++ b/src/client_connection.cpp
@@ -30,7 +30,7 @@
 } // namespace
 
 client_connection::client_connection(event_base* base, const link_address& to)
-    : reader(http_reader::message_kind::responses, max_response_head_bytes)
+    : reader(http_reader::message_kind::responses, max_response_head_bytes), unsent(evbuffer_new())
 {
     const evutil_socket_t descriptor =
         ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -64,8 +64,9 @@
     this->written = false;
     this->keep_alive = false;
     this->bodiless = request.method == "HEAD";
-    this->unsent_head = write_request_head(request);
-    this->unsent_body = request.body;
+    const std::string head = write_request_head(request);
+    evbuffer_add(this->unsent.get(), head.data(), head.size());
+    evbuffer_add(this->unsent.get(), request.body.data(), request.body.size());
     if (this->closed) {
         this->fail(connect_step, "no connection");
     } else if (this->connected) {
@@ -81,10 +82,7 @@
     }
     if (this->bodiless) this->reader.expect_no_body();
     this->written = true;
-    const std::string head = std::exchange(this->unsent_head, {});
-    const std::string body = std::exchange(this->unsent_body, {});
-    bufferevent_write(this->socket.get(), head.data(), head.size());
-    bufferevent_write(this->socket.get(), body.data(), body.size());
+    bufferevent_write_buffer(this->socket.get(), this->unsent.get());
 }
 
 void client_connection::set_reading(bool on)
--- a/src/client_connection.h
+++ b/src/client_connection.h
@@ -79,8 +79,7 @@
 
     event_ptr<bufferevent> socket;
     http_reader reader;
-    std::string unsent_head; ///< of a request to write once the connection is established
-    std::string unsent_body;
+    event_ptr<evbuffer> unsent; ///< a request to write once the connection is established
     bool connected = false;
     bool in_progress = false; ///< an exchange
     bool written = false;     ///< the request, in part at least
