Early servers of tests limit what they hold unread before they listen

The limit was set after a connection was accepted, when the peer already knew a window of 64 KB: a part of an upload of 60 kB could have been acknowledged in full, depending on the order of events, and the server's end then is not told from an orderly one.

--- a/test/error/responses_cut_by_a_reset.cpp
+++ b/test/error/responses_cut_by_a_reset.cpp
@@ -29,6 +29,9 @@
         : base(base), answer(std::move(answer)), how(how), pause(pause),
           listener(base, [this](evutil_socket_t socket) { this->accept(socket); })
     {
+        // The rest of an upload has no room, so that it is still being written.
+        constexpr int unread_bytes = 4096;
+        this->listener.limit_unread_bytes(unread_bytes);
     }
 
     [[nodiscard]] link_address address() const { return this->listener.address(); }
@@ -48,8 +51,6 @@
         this->open.push_back(std::make_unique<connection>());
         connection* item = this->open.back().get();
         item->owner = this;
-        // The rest of an upload has no room, so that it is still being written.
-        set_receive_buffer(socket, 4096);
         item->socket.reset(bufferevent_socket_new(this->base, socket, BEV_OPT_CLOSE_ON_FREE));
         bufferevent_setcb(
             item->socket.get(),
--- a/test/support/loopback_listener.cpp
+++ b/test/support/loopback_listener.cpp
@@ -44,6 +44,11 @@
     this->port = ntohs(at.sin_port);
 }
 
+void loopback_listener::limit_unread_bytes(int bytes)
+{
+    set_receive_buffer(evconnlistener_get_fd(this->listener.get()), bytes);
+}
+
 void loopback_listener::close()
 {
     this->release_queue();
--- a/test/support/loopback_listener.h
+++ b/test/support/loopback_listener.h
@@ -24,6 +24,8 @@
     loopback_listener(loopback_listener&&) = delete;
     loopback_listener& operator=(loopback_listener&&) = delete;
 
+    /** Limits the bytes that each later connection holds unread. */
+    void limit_unread_bytes(int bytes);
     /** Stops listening; later connections are refused. */
     void close();
     /** Later connections are neither accepted nor refused: the system drops their packets, as those
