Simpler: the reader says why a response was not read, and one check of both buffers serves both pools

What was wrong with a response was kept as text and, for a large head, named in server_connections and again in client_connection; http_reader::fault derives it from the result. buffers_empty takes the place of the same two checks at the end of a response in both. client_connection tells its reader of a HEAD request when it is sent, in place of remembering it, and its events are handled without nested conditions. server_calls::head_sent was set and never read.

--- a/src/client_connection.cpp
+++ b/src/client_connection.cpp
@@ -1,6 +1,5 @@
 #include "client_connection.h"
 
-#include <algorithm>
 #include <cstring>
 #include <utility>
 
@@ -62,8 +61,7 @@
 {
     this->in_progress = true;
     this->written = false;
-    this->keep_alive = false;
-    this->bodiless = request.method == "HEAD";
+    if (request.method == "HEAD") this->reader.expect_no_body();
     const std::string head = write_request_head(request);
     evbuffer_add(this->unsent.get(), head.data(), head.size());
     evbuffer_add(this->unsent.get(), request.body.data(), request.body.size());
@@ -80,7 +78,6 @@
         this->fail(read_step, "the server sent or closed before the request");
         return;
     }
-    if (this->bodiless) this->reader.expect_no_body();
     this->written = true;
     bufferevent_write_buffer(this->socket.get(), this->unsent.get());
 }
@@ -115,12 +112,11 @@
         return;
     }
     const read_result result = this->reader.read(bufferevent_get_input(this->socket.get()));
+    if (result == read_result::need_more) return;
     if (result == read_result::message_complete) {
         this->finish();
-    } else if (result == read_result::head_too_large) {
-        this->fail(parse_step, "response head too large");
-    } else if (result == read_result::malformed) {
-        this->fail(parse_step, this->reader.fault());
+    } else {
+        this->fail(parse_step, this->reader.fault(result));
     }
 }
 
@@ -132,32 +128,28 @@
         if (this->in_progress) this->write();
         return;
     }
-    const bool at_end = (events & BEV_EVENT_EOF) != 0;
-    const std::string error = evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR());
-    const bool may_be_complete = at_end && this->written && this->reader.head_complete() &&
-                                 ended_in_order(this->socket.get());
-    if (may_be_complete && this->reader.read_eof() == read_result::message_complete) {
+    const std::string_view step = this->connected ? read_step : connect_step;
+    if ((events & BEV_EVENT_TIMEOUT) != 0) {
+        this->fail(step, "timed out");
+    } else if ((events & BEV_EVENT_EOF) == 0) {
+        this->fail(step, std::strerror(EVUTIL_SOCKET_ERROR()));
+    } else if (this->written && this->reader.head_complete() &&
+               ended_in_order(this->socket.get()) &&
+               this->reader.read_eof() == read_result::message_complete) {
         this->keep_alive = false;
         this->finish();
-        return;
+    } else {
+        this->fail(step, "closed by the peer");
     }
-    const bool timed_out = (events & BEV_EVENT_TIMEOUT) != 0;
-    this->fail(this->connected ? read_step : connect_step, at_end      ? "closed by the peer"
-                                                           : timed_out ? "timed out"
-                                                                       : error);
 }
 
 void client_connection::finish()
 {
     this->in_progress = false;
-    const bool stray = evbuffer_get_length(bufferevent_get_input(this->socket.get())) > 0;
-    // If the response arrived before the request was sent in full, the server would read the next
-    // request as the rest of the body.
-    const bool unsent = evbuffer_get_length(bufferevent_get_output(this->socket.get())) > 0;
-    if (!this->keep_alive || stray || unsent) {
-        this->close();
-    } else {
+    if (this->keep_alive && buffers_empty(this->socket.get())) {
         bufferevent_enable(this->socket.get(), EV_READ);
+    } else {
+        this->close();
     }
     this->on_end({exchange_result::complete, read_step, {}});
 }
--- a/src/client_connection.h
+++ b/src/client_connection.h
@@ -83,7 +83,6 @@
     bool connected = false;
     bool in_progress = false; ///< an exchange
     bool written = false;     ///< the request, in part at least
-    bool bodiless = false;    ///< the response to the request has no body
     bool keep_alive = false;  ///< the last response allows another request
     bool closed = false;
 };
--- a/src/event_loop.cpp
+++ b/src/event_loop.cpp
@@ -133,6 +133,12 @@
     return peek(bufferevent_getfd(socket)) < 0 && errno == EAGAIN;
 }
 
+bool buffers_empty(bufferevent* socket)
+{
+    return evbuffer_get_length(bufferevent_get_input(socket)) == 0 &&
+           evbuffer_get_length(bufferevent_get_output(socket)) == 0;
+}
+
 bool ended_in_order(bufferevent* socket)
 {
     if (evbuffer_get_length(bufferevent_get_output(socket)) > 0) return false;
--- a/src/event_loop.h
+++ b/src/event_loop.h
@@ -88,6 +88,11 @@
  * arrives on a connection before a request is written does not answer it. */
 bool is_quiet(bufferevent* socket);
 
+/** Whether no bytes wait to be handled or to be sent. After a response, input is none that was
+ * asked for, and with output left the peer would read the next request as the rest of the last one.
+ */
+bool buffers_empty(bufferevent* socket);
+
 /** Whether the end of input, which was just read, is that of a peer that has received all output of
  * this connection. It is not if output is unsent or unacknowledged, or if a reset followed. */
 bool ended_in_order(bufferevent* socket);
--- a/src/http_wire.cpp
+++ b/src/http_wire.cpp
@@ -173,9 +173,8 @@
 bool http_reader::check_response(std::string_view bytes)
 {
     if (this->reader_side == message_kind::requests) return true;
-    const std::optional<response_fault> broken = this->check.add(bytes);
-    if (broken) this->fault_text = to_string(*broken);
-    return !broken;
+    this->broken_rule = this->check.add(bytes);
+    return !this->broken_rule;
 }
 
 read_result http_reader::classify(std::size_t input_size, std::size_t consumed)
@@ -192,6 +191,13 @@
     return consumed == input_size ? read_result::need_more : read_result::malformed;
 }
 
+std::string http_reader::fault(read_result result) const
+{
+    if (result == read_result::head_too_large) return "response head too large";
+    if (!this->broken_rule) return http_errno_description(HTTP_PARSER_ERRNO(&this->parser));
+    return to_string(*this->broken_rule);
+}
+
 read_result http_reader::read(evbuffer* input)
 {
     static const http_parser_settings callbacks = make_callbacks();
@@ -212,8 +218,6 @@
         this->interim_bytes = interim ? this->interim_bytes + this->head_bytes + consumed : 0;
         if (result == read_result::message_complete) this->reset();
         if (this->interim_bytes > this->max_head_bytes) return read_result::head_too_large;
-        if (result == read_result::malformed)
-            this->fault_text = http_errno_description(HTTP_PARSER_ERRNO(&this->parser));
         if (!interim) return result;
     }
     return read_result::need_more;
--- a/src/http_wire.h
+++ b/src/http_wire.h
@@ -77,8 +77,8 @@
     read_result read(evbuffer* input);
     /** Handles the end of input. A response without a length is complete at this point. */
     read_result read_eof();
-    /** Why the last message was found to be malformed. */
-    [[nodiscard]] const std::string& fault() const { return this->fault_text; }
+    /** Why a response was not read: \p result is `malformed` or `head_too_large`. */
+    [[nodiscard]] std::string fault(read_result result) const;
 
     /** The next response has no body whatever its headers say, as after a HEAD request. */
     void expect_no_body() { this->bodiless = true; }
@@ -106,7 +106,7 @@
     http_parser parser{};
     response_check check; ///< of a response
     http_head head;
-    std::string fault_text;
+    std::optional<response_fault> broken_rule; ///< of a response
     std::size_t head_bytes = 0;
     std::size_t interim_bytes = 0; ///< of informational responses before the current one
     bool last_was_value = false;   ///< the last header callback was for a value
--- a/src/server_calls.cpp
+++ b/src/server_calls.cpp
@@ -44,8 +44,7 @@
     connection_ptr connection;
     instant started{};
     instant last_received{}; ///< when the last bytes arrived, or reading was resumed
-    bool head_sent = false;
-    bool refused = false; ///< the server stated that it did not execute the request
+    bool refused = false;    ///< the server stated that it did not execute the request
     bool stream = false;
     bool length_known = false;
     bool end_marker_seen = false;
@@ -126,7 +125,6 @@
             const bool wrong_length = bodiless && header_names_equal(extra.name, "content-length");
             return !is_hop_by_hop_header(extra.name) && !wrong_length;
         });
-    server_call.head_sent = true;
     this->on_frame.emit(server_call.parameters.entry, std::move(message));
 }
 
--- a/src/server_connections.cpp
+++ b/src/server_connections.cpp
@@ -251,9 +251,7 @@
         const read_result result = connection->reader.read(input);
         if (result == read_result::need_more) return;
         if (result != read_result::message_complete) {
-            this->fail(connection, parse_step.data(),
-                       result == read_result::head_too_large ? "response head too large"
-                                                             : connection->reader.fault());
+            this->fail(connection, parse_step.data(), connection->reader.fault(result));
             return;
         }
         // That was a late response to an earlier request; the expected one is still to come.
@@ -268,11 +266,7 @@
     const std::uint64_t attempt = std::exchange(connection->attempt, 0);
     if (attempt == 0) return;
     this->attempts.erase(attempt);
-    const bool stray = evbuffer_get_length(bufferevent_get_input(connection->socket.get())) > 0;
-    const bool unsent = evbuffer_get_length(bufferevent_get_output(connection->socket.get())) > 0;
-    // If the response arrived before the request was sent in full, the connection cannot be reused:
-    // the server would read the next request as the rest of the body.
-    if (connection->close_after || stray || unsent) {
+    if (connection->close_after || !buffers_empty(connection->socket.get())) {
         this->drop(*connection);
     } else {
         connection->since = now();
