--- a/test/error/invalid_server_responses.cpp
+++ b/test/error/invalid_server_responses.cpp
@@ -43,11 +43,6 @@
         return {response_text(200, request, "good"), then::keep};
     }
 
-    static int status_of(const std::string& response)
-    {
-        return response.size() < 12 ? 0 : std::stoi(response.substr(9, 3));
-    }
-
 public:
     void setUp() override
     {
@@ -68,7 +63,7 @@
         this->rig->add_server("a", "desk", first_is_truncated);
         this->rig->add_server("b", "desk", first_is_truncated);
         const std::string response = this->rig->ask(request_text("GET", "/safe/x", "1"));
-        CPPUNIT_ASSERT_EQUAL(200, status_of(response));
+        CPPUNIT_ASSERT_EQUAL(200, status_in(response));
         CPPUNIT_ASSERT_EQUAL(std::string("good"), body_in(response));
     }
 
@@ -82,7 +77,7 @@
         scripted_server& a = this->rig->add_server("a", "desk", truncated);
         scripted_server& b = this->rig->add_server("b", "desk", truncated);
         const std::string response = this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
-        CPPUNIT_ASSERT_EQUAL(502, status_of(response));
+        CPPUNIT_ASSERT_EQUAL(502, status_in(response));
         CPPUNIT_ASSERT(header_in(response, "x-response-signature").empty());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, a.requests.size() + b.requests.size());
     }
@@ -94,7 +89,7 @@
             return {"\x01\x02 nothing like an answer\r\n\r\n", then::keep};
         });
         const std::string response = this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
-        CPPUNIT_ASSERT_EQUAL(502, status_of(response));
+        CPPUNIT_ASSERT_EQUAL(502, status_in(response));
     }
 
     /** Guards against delivering an unsolicited second response to the next request. */
@@ -142,7 +137,7 @@
             return {without_length(request), then::close};
         });
         const std::string response = this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
-        CPPUNIT_ASSERT_EQUAL(200, status_of(response));
+        CPPUNIT_ASSERT_EQUAL(200, status_in(response));
         CPPUNIT_ASSERT_EQUAL(std::string("to the end"), body_in(response));
     }
 
@@ -154,7 +149,7 @@
             return {without_length(request), then::reset};
         });
         const std::string response = this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
-        CPPUNIT_ASSERT_EQUAL(502, status_of(response));
+        CPPUNIT_ASSERT_EQUAL(502, status_in(response));
     }
 
     /** Guards against reusing a connection on which a request body was not sent to its end. */
@@ -172,9 +167,9 @@
         server.push("HTTP/1.1 400 Bad\r\nX-Request-Id: 31\r\nX-Response-Signature: "
                     "s\r\nContent-Length: 0\r\n\r\n");
         CPPUNIT_ASSERT(this->rig->run_until([&] { return !caller.received.empty(); }));
-        CPPUNIT_ASSERT_EQUAL(400, status_of(caller.received));
+        CPPUNIT_ASSERT_EQUAL(400, status_in(caller.received));
         const std::string next = this->rig->ask(request_text("POST", "/unsafe/x", "32", "{}"));
-        CPPUNIT_ASSERT_EQUAL(200, status_of(next));
+        CPPUNIT_ASSERT_EQUAL(200, status_in(next));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.connections);
     }
 
@@ -188,7 +183,7 @@
         for (const std::string id : {"41", "42"}) {
             const std::string response =
                 this->rig->ask(request_text("POST", "/unsafe/x", id, "{}"));
-            CPPUNIT_ASSERT_EQUAL(200, status_of(response));
+            CPPUNIT_ASSERT_EQUAL(200, status_in(response));
             this->rig->run_for(milliseconds(20));
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.connections);
@@ -222,7 +217,7 @@
         for (const std::string id : {"51", "52", "53", "54"}) {
             const std::string response =
                 this->rig->ask(request_text("POST", "/unsafe/x", id, "{}"));
-            CPPUNIT_ASSERT_EQUAL(200, status_of(response));
+            CPPUNIT_ASSERT_EQUAL(200, status_in(response));
         }
         // After the first 421 no further request is sent to it.
         CPPUNIT_ASSERT(a.requests.size() <= 1);
@@ -243,7 +238,7 @@
         this->rig->add_server("a", "desk", first_refuses);
         this->rig->add_server("b", "desk", first_refuses);
         const std::string response = this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
-        CPPUNIT_ASSERT_EQUAL(200, status_of(response));
+        CPPUNIT_ASSERT_EQUAL(200, status_in(response));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sent);
     }
 
@@ -253,7 +248,7 @@
         this->rig->add_server("a", "desk", refuse);
         this->rig->add_server("b", "desk", refuse);
         const std::string response = this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
-        CPPUNIT_ASSERT_EQUAL(503, status_of(response));
+        CPPUNIT_ASSERT_EQUAL(503, status_in(response));
         CPPUNIT_ASSERT(!header_in(response, "retry-after").empty());
     }
 
@@ -264,7 +259,7 @@
             return {response_text(503, request, "ran"), then::keep};
         });
         const std::string response = this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
-        CPPUNIT_ASSERT_EQUAL(502, status_of(response));
+        CPPUNIT_ASSERT_EQUAL(502, status_in(response));
     }
 
     /** Guards against changing a server's own error response. */
@@ -274,7 +269,7 @@
             return {response_text(500, request, "its own words"), then::keep};
         });
         const std::string response = this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
-        CPPUNIT_ASSERT_EQUAL(500, status_of(response));
+        CPPUNIT_ASSERT_EQUAL(500, status_in(response));
         CPPUNIT_ASSERT_EQUAL(std::string("sig"), header_in(response, "x-response-signature"));
         CPPUNIT_ASSERT_EQUAL(std::string("its own words"), body_in(response));
     }
@@ -291,10 +286,10 @@
         this->rig->table.put(record);
         const std::string without_server =
             this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
-        CPPUNIT_ASSERT_EQUAL(503, status_of(without_server));
+        CPPUNIT_ASSERT_EQUAL(503, status_in(without_server));
         this->rig->add_server("b", "desk", good);
         const std::string response = this->rig->ask(request_text("POST", "/unsafe/x", "2", "{}"));
-        CPPUNIT_ASSERT_EQUAL(200, status_of(response));
+        CPPUNIT_ASSERT_EQUAL(200, status_in(response));
     }
 
     /** Guards against waiting for a silent server until the deadline, or leaving its connection
@@ -308,7 +303,7 @@
         scripted_server& a = this->rig->add_server("a", "desk", first_is_silent);
         scripted_server& b = this->rig->add_server("b", "desk", first_is_silent);
         const std::string response = this->rig->ask(request_text("GET", "/safe/x", "1"));
-        CPPUNIT_ASSERT_EQUAL(200, status_of(response));
+        CPPUNIT_ASSERT_EQUAL(200, status_in(response));
         CPPUNIT_ASSERT(this->rig->run_until([&] { return a.closed + b.closed == 1; }));
     }
 
@@ -327,7 +322,7 @@
         for (const std::string id : {"2", "3", "4", "5", "6", "7", "8"}) {
             const std::string response =
                 this->rig->ask(request_text("POST", "/unsafe/x", id, "{}"));
-            CPPUNIT_ASSERT_EQUAL(200, status_of(response));
+            CPPUNIT_ASSERT_EQUAL(200, status_in(response));
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, a.requests.size());
         CPPUNIT_ASSERT_EQUAL(std::size_t{7}, b.requests.size());
@@ -342,7 +337,7 @@
                 return {"", then::stay_silent};
             });
         const std::string response = this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
-        CPPUNIT_ASSERT_EQUAL(504, status_of(response));
+        CPPUNIT_ASSERT_EQUAL(504, status_in(response));
         CPPUNIT_ASSERT(this->rig->run_until([&] { return server.closed == 1; }));
     }
 };
--- a/test/error/malformed_server_responses.cpp
+++ b/test/error/malformed_server_responses.cpp
@@ -45,11 +45,6 @@
                "\r\nX-Response-Signature: sig\r\n";
     }
 
-    static int status_of(const std::string& response)
-    {
-        return response.size() < 12 ? 0 : std::stoi(response.substr(9, 3));
-    }
-
     /** Each of \p responses, to a request that must not be repeated, becomes a 502 that nobody
      * signed. */
     void become_502(const std::vector<malformed_response>& responses)
@@ -102,7 +97,7 @@
             this->rig->add_server("a", "desk", first_is_malformed);
             this->rig->add_server("b", "desk", first_is_malformed);
             const std::string response = this->rig->ask(request_text("GET", "/safe/x", "1"));
-            if (status_of(response) != 200 || body_in(response) != "good")
+            if (status_in(response) != 200 || body_in(response) != "good")
                 failed += "[" + broken.name + "] ";
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), failed);
@@ -126,7 +121,7 @@
             this->rig->run_for(milliseconds(2));
         }
         CPPUNIT_ASSERT(this->rig->run_until([&] { return !caller.received.empty(); }));
-        CPPUNIT_ASSERT_EQUAL(502, status_of(caller.received));
+        CPPUNIT_ASSERT_EQUAL(502, status_in(caller.received));
     }
 
     /** Guards against sending a request on a connection whose server sends malformed responses. */
@@ -139,10 +134,10 @@
                         then::keep};
             });
         CPPUNIT_ASSERT_EQUAL(
-            502, status_of(this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"))));
+            502, status_in(this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"))));
         CPPUNIT_ASSERT(this->rig->run_until([&] { return server.closed == 1; }));
         CPPUNIT_ASSERT_EQUAL(
-            200, status_of(this->rig->ask(request_text("POST", "/unsafe/x", "2", "{}"))));
+            200, status_in(this->rig->ask(request_text("POST", "/unsafe/x", "2", "{}"))));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.connections);
     }
 
@@ -214,7 +209,7 @@
             this->rig->add_server("b", "llm", answer);
             const std::string response =
                 this->rig->ask(request_text("POST", "/stream/x", "1", "{}"));
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.name, 200, status_of(response));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.name, 200, status_in(response));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.name, three_events(), body_in(response));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.name, std::size_t{2}, sent);
         }
@@ -287,7 +282,7 @@
             });
             const std::string response =
                 this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(head, 200, status_of(response));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(head, 200, status_in(response));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(head, std::string("good"), body_in(response));
             CPPUNIT_ASSERT_MESSAGE(head, response.find("X Y") == std::string::npos);
         }
@@ -314,7 +309,7 @@
                 const auto head_read = [&caller] { return caller.received.ends_with("\r\n\r\n"); };
                 CPPUNIT_ASSERT_MESSAGE(message, this->rig->run_until(head_read));
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::stoi(status),
-                                             status_of(caller.received));
+                                             status_in(caller.received));
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::string("sig"),
                                              header_in(caller.received, "x-response-signature"));
                 CPPUNIT_ASSERT_MESSAGE(message,
@@ -325,7 +320,7 @@
                 caller.send(request_text("POST", "/unsafe/x", "2", "{}"));
                 const auto answered = [&caller] { return caller.received.ends_with("good"); };
                 CPPUNIT_ASSERT_MESSAGE(message, this->rig->run_until(answered));
-                CPPUNIT_ASSERT_EQUAL_MESSAGE(message, 200, status_of(caller.received));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(message, 200, status_in(caller.received));
             }
         }
     }
--- a/test/error/responses_cut_by_a_reset.cpp
+++ b/test/error/responses_cut_by_a_reset.cpp
@@ -127,14 +127,7 @@
     static void relay_to(path_rig& rig, server_connections& relay, const early_server& server)
     {
         constexpr std::uint32_t loopback_host = 0x7f000001;
-        for (const char* id : {"a", "b"})
-            rig.add_server(id, "desk", {}).end();
-        const instant now = std::chrono::steady_clock::now();
-        for (auto& [id, row] : rig.table.rows()) {
-            row.path.on_connect_failed(now - 2 * server_path::report_time_error);
-            row.path.on_answered_other(now);
-        }
-        rig.table.update_reach(now);
+        rig.add_lost_servers("desk");
         rig.path->enable_relay(relay, server.address().port);
         rig.path->set_relay_vms({{loopback_host, true, {}}});
     }
--- a/test/error/second_vm_breaks_off.cpp
+++ b/test/error/second_vm_breaks_off.cpp
@@ -72,14 +72,7 @@
     {
         this->rig = std::make_unique<path_rig>();
         this->rig->path->set_config(this->rig->adapter.decode_config(example_config(1)));
-        for (const char* id : {"a", "b"})
-            this->rig->add_server(id, "desk", {}).end();
-        const instant now = std::chrono::steady_clock::now();
-        for (auto& [id, row] : this->rig->table.rows()) {
-            row.path.on_connect_failed(now - 2 * server_path::report_time_error);
-            row.path.on_answered_other(now);
-        }
-        this->rig->table.update_reach(now);
+        this->rig->add_lost_servers("desk");
         this->vm_links =
             std::make_unique<server_connections>(this->rig->base.get(), this->rig->adapter);
         this->second_vm = std::make_unique<scripted_server>(
--- a/test/error/second_vm_states_no_version.cpp
+++ b/test/error/second_vm_states_no_version.cpp
@@ -30,14 +30,7 @@
     {
         path_rig rig;
         rig.path->set_config(rig.adapter.decode_config(example_config(1)));
-        for (const char* id : {"a", "b"})
-            rig.add_server(id, "llm", {}).end();
-        const instant now = std::chrono::steady_clock::now();
-        for (auto& [id, row] : rig.table.rows()) {
-            row.path.on_connect_failed(now - 2 * server_path::report_time_error);
-            row.path.on_answered_other(now);
-        }
-        rig.table.update_reach(now);
+        rig.add_lost_servers("llm");
         const auto answer = [&](const std::string& request) {
             const bool is_new = header_in(request, "last-event-id").empty();
             scripted_response response = is_new
--- a/test/support/path_rig.cpp
+++ b/test/support/path_rig.cpp
@@ -232,6 +232,18 @@
     return *this->servers.back();
 }
 
+void path_rig::add_lost_servers(const std::string& service)
+{
+    for (const char* id : {"a", "b"})
+        this->add_server(id, service, {}).end();
+    const instant now = std::chrono::steady_clock::now();
+    for (auto& [id, row] : this->table.rows()) {
+        row.path.on_connect_failed(now - 2 * server_path::report_time_error);
+        row.path.on_answered_other(now);
+    }
+    this->table.update_reach(now);
+}
+
 raw_caller& path_rig::add_caller(int receive_buffer)
 {
     this->raw_callers.push_back(std::make_unique<raw_caller>(
@@ -244,10 +256,7 @@
     raw_caller& caller = this->add_caller();
     caller.send(request);
     const auto complete = [&caller] {
-        const std::string length = header_in(caller.received, "content-length");
-        const bool full_length =
-            !length.empty() && body_in(caller.received).size() >= std::stoul(length);
-        return full_length || caller.received.ends_with("0\r\n\r\n") || caller.closed;
+        return caller.closed || is_complete_response(caller.received);
     };
     if (!this->run_until(complete))
         throw std::runtime_error("no complete response, but \"" + caller.received + "\"");
@@ -373,6 +382,21 @@
     return "id: 1\ndata: d1\n\nid: 2\ndata: d2\n\nid: 3\ndata: d3\n\n";
 }
 
+bool is_complete_response(const std::string& answer)
+{
+    if (answer.ends_with("0\r\n\r\n")) return true;
+    const std::string length = header_in(answer, "content-length");
+    return !length.empty() && body_in(answer).size() >= std::stoul(length);
+}
+
+int status_in(const std::string& answer)
+{
+    constexpr std::size_t status_at = 9;
+    constexpr std::size_t status_size = 3;
+    if (answer.size() < status_at + status_size) return 0;
+    return std::stoi(answer.substr(status_at, status_size));
+}
+
 std::string header_in(const std::string& text, const std::string& name)
 {
     std::string_view rest = std::string_view(text).substr(0, text.find(head_end));
--- a/test/support/path_rig.h
+++ b/test/support/path_rig.h
@@ -102,6 +102,9 @@
      * of its software. */
     scripted_server& add_server(const std::string& id, const std::string& service,
                                 scripted_server::script answer, const std::string& version = "v1");
+    /** Adds two servers of \p service that this VM has lost, and that have answered others since.
+     */
+    void add_lost_servers(const std::string& service);
     raw_caller& add_caller(int receive_buffer = 0);
     /** Sends one request on a new connection and returns all bytes received until its response was
      * complete or the connection was closed. \throws std::runtime_error after five seconds. */
@@ -157,6 +160,10 @@
 std::string three_events();
 /** Size in bytes of the first request in \p bytes; 0 if it is incomplete. */
 std::size_t request_size(const std::string& bytes);
+/** Whether a raw HTTP response is complete. */
+bool is_complete_response(const std::string& answer);
+/** Status code of a raw HTTP response; 0 if there is none yet. */
+int status_in(const std::string& answer);
 /** Value of a header in a raw message; empty if there is none. */
 std::string header_in(const std::string& text, const std::string& name);
 /** Body of a raw response, decoded if it is chunked; as far as it is complete. */
--- a/test/support/router_fleet.cpp
+++ b/test/support/router_fleet.cpp
@@ -171,19 +171,4 @@
     return true;
 }
 
-bool is_complete_response(const std::string& answer)
-{
-    if (answer.ends_with("0\r\n\r\n")) return true;
-    const std::string length = header_in(answer, "content-length");
-    return !length.empty() && body_in(answer).size() >= std::stoul(length);
-}
-
-int status_in(const std::string& answer)
-{
-    constexpr std::size_t status_at = 9;
-    constexpr std::size_t status_size = 3;
-    if (answer.size() < status_at + status_size) return 0;
-    return std::stoi(answer.substr(status_at, status_size));
-}
-
 } // namespace support
--- a/test/support/router_fleet.h
+++ b/test/support/router_fleet.h
@@ -91,9 +91,4 @@
     worksshift::timer ticker;
 };
 
-/** Whether a raw HTTP response is complete. */
-bool is_complete_response(const std::string& answer);
-/** Status code of a raw HTTP response; 0 if there is none yet. */
-int status_in(const std::string& answer);
-
 } // namespace support
