--- a/test/error/malformed_responses_to_gates.cpp
+++ b/test/error/malformed_responses_to_gates.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(response_sent_before_the_request);
     CPPUNIT_TEST(informational_response_before_the_answer);
     CPPUNIT_TEST(responses_without_body);
+    CPPUNIT_TEST(response_to_head);
     CPPUNIT_TEST(malformed_responses_of_other_processes);
     CPPUNIT_TEST(well_formed_responses_of_other_processes);
     CPPUNIT_TEST(malformed_load_reports_and_orders);
@@ -79,14 +80,14 @@
     }
 
     /** Starts a call and returns where its result will be. */
-    const gate_result& start(const server_config& server)
+    const gate_result& start(const server_config& server, const std::string& method = "POST")
     {
         open_attempt attempt;
         attempt.id = {1, ++this->last_call};
         attempt.request_id = std::to_string(this->last_call);
-        attempt.method = "POST";
+        attempt.method = method;
         attempt.path = "/tickets";
-        attempt.body = "{}";
+        attempt.body = method == "POST" ? "{}" : "";
         start_call call;
         call.server = server;
         call.entry.text = "entry";
@@ -348,6 +349,29 @@
         }
     }
 
+    /** Guards against waiting for the body of a response to HEAD, and against a connection that is
+     * not used again after one. */
+    void response_to_head()
+    {
+        const scripted_server server(this->base.get(), [](const std::string& request) {
+            const std::string whole = well_formed("whole");
+            const bool head = request.starts_with("HEAD ");
+            return scripted_response{head ? whole.substr(0, whole.size() - 5) : whole, then::keep};
+        });
+        for (const std::string method : {"HEAD", "POST", "HEAD", "POST"}) {
+            const gate_result& result = this->start(config_of(server.address()), method);
+            CPPUNIT_ASSERT(this->run_until([&result] { return result.ended; }));
+            CPPUNIT_ASSERT(result.end.result == outcome::done);
+            CPPUNIT_ASSERT_EQUAL(std::string(method == "POST" ? "whole" : ""), result.body);
+            const auto length =
+                std::ranges::find(result.head.headers, "Content-Length", &header::name);
+            CPPUNIT_ASSERT(length != result.head.headers.end());
+            CPPUNIT_ASSERT_EQUAL(std::string("5"), length->value);
+            this->calls->sweep(std::chrono::steady_clock::now());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.connections);
+    }
+
     /** Guards against a malformed response of another process that counts as one. */
     void malformed_responses_of_other_processes()
     {
--- a/test/error/malformed_server_responses.cpp
+++ b/test/error/malformed_server_responses.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(through_another_vm);
     CPPUNIT_TEST(informational_response_before_the_answer);
     CPPUNIT_TEST(responses_without_body);
+    CPPUNIT_TEST(responses_to_head);
+    CPPUNIT_TEST(well_formed_responses);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<path_rig> rig;
@@ -324,6 +326,55 @@
             }
         }
     }
+
+    /** Guards against waiting for the body of a response to HEAD, whose headers describe one that
+     * is not sent. */
+    void responses_to_head()
+    {
+        for (const std::string rest :
+             {"Content-Length: 5\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n", "\r\n"}) {
+            this->setUp();
+            this->rig->add_server("a", "desk", [&](const std::string& request) {
+                return scripted_response{"HTTP/1.1 200 OK\r\n" + proof(request) + rest, then::keep};
+            });
+            raw_caller& caller = this->rig->add_caller();
+            caller.send(request_text("HEAD", "/safe/x", "1"));
+            const auto head_read = [&caller] { return caller.received.ends_with("\r\n\r\n"); };
+            CPPUNIT_ASSERT_MESSAGE(rest, this->rig->run_until(head_read));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(rest, 200, status_in(caller.received));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(rest, std::string("sig"),
+                                         header_in(caller.received, "x-response-signature"));
+        }
+    }
+
+    /** Guards against refusing or changing well-formed responses, which servers frame in different
+     * ways. */
+    void well_formed_responses()
+    {
+        const std::string chunks = "2\r\nwh\r\n3;x=y\r\nole\r\n0\r\nX-Trailer: 1\r\n\r\n";
+        for (const auto& [status_line, rest] : std::vector<std::pair<std::string, std::string>>{
+                 {"HTTP/1.1 201 Created", "Content-Length: 5\r\n\r\nwhole"},
+                 {"HTTP/1.1 201 ", "content-length:5\r\nX-Empty:\r\n\r\nwhole"},
+                 {"HTTP/1.1 201", "transfer-encoding: Chunked\r\n\r\n" + chunks},
+                 {"HTTP/1.0 201 Created", "Content-Length: 5\r\n\r\nwhole"},
+                 {"HTTP/1.0 201 Created", "\r\nwhole"},
+                 {"HTTP/1.1 201 Created", "Connection: close\r\n\r\nwhole"}}) {
+            this->setUp();
+            this->rig->add_server("a", "desk", [&](const std::string& request) {
+                std::string text = status_line + "\r\n" + proof(request);
+                return scripted_response{text.append("X-A: \xc3\xa4 b\r\n").append(rest),
+                                         then::close};
+            });
+            const std::string response =
+                this->rig->ask(request_text("POST", "/unsafe/x", "1", "{}"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(rest, 201, status_in(response));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(rest, std::string("sig"),
+                                         header_in(response, "x-response-signature"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(rest, std::string("\xc3\xa4 b"),
+                                         header_in(response, "x-a"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(rest, std::string("whole"), body_in(response));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(malformed_server_responses);
--- a/test/error/responses_cut_by_a_reset.cpp
+++ b/test/error/responses_cut_by_a_reset.cpp
@@ -19,7 +19,7 @@
 enum class ending : std::uint8_t { reset, end_of_input_then_reset };
 
 /** A server that answers as soon as it has read a head, without reading further, and then ends the
- * connection. */
+ * connection. Requests that have no body it answers in full, and keeps their connection. */
 class early_server {
 public:
     /** Gives the bytes to send for the head of a request. */
@@ -37,12 +37,14 @@
     [[nodiscard]] link_address address() const { return this->listener.address(); }
 
     std::size_t answered = 0;
+    bool answered_on_kept_connection = false; ///< the last one
 
 private:
     struct connection {
         early_server* owner = nullptr;
         event_ptr<bufferevent> socket;
         std::string received;
+        bool kept = false; ///< a response was sent in full
         std::unique_ptr<timer> reset_timer;
     };
 
@@ -69,11 +71,19 @@
         evbuffer_drain(input, evbuffer_get_length(input));
         if (item.reset_timer != nullptr || item.received.find("\r\n\r\n") == std::string::npos)
             return;
+        if (header_in(item.received, "content-length").empty()) {
+            const std::string whole =
+                response_text(200, std::exchange(item.received, std::string()), "whole");
+            bufferevent_write(item.socket.get(), whole.data(), whole.size());
+            item.kept = true;
+            return;
+        }
         bufferevent_disable(item.socket.get(), EV_READ);
         const evutil_socket_t socket = bufferevent_getfd(item.socket.get());
         const std::string bytes = this->answer(item.received);
         static_cast<void>(::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL));
         ++this->answered;
+        this->answered_on_kept_connection = item.kept;
         if (this->how == ending::end_of_input_then_reset) ::shutdown(socket, SHUT_WR);
         item.reset_timer = std::make_unique<timer>(this->base, [&item] {
             close_by_reset(bufferevent_getfd(item.socket.get()));
@@ -98,6 +108,7 @@
 class responses_cut_by_a_reset : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(responses_cut_by_a_reset);
     CPPUNIT_TEST(during_an_upload);
+    CPPUNIT_TEST(during_an_upload_on_a_kept_connection);
     CPPUNIT_TEST(during_the_upload_of_a_stream);
     CPPUNIT_TEST(during_an_upload_to_another_vm);
     CPPUNIT_TEST(during_an_upload_through_a_gate);
@@ -110,7 +121,7 @@
     static constexpr std::array<std::size_t, 4> part_sizes{0, 4, 5, 100'000};
 
     /** How requests of a rig reach the early server. */
-    enum class path_to_server : std::uint8_t { direct, as_another_vm };
+    enum class path_to_server : std::uint8_t { direct, kept_connection, as_another_vm };
 
     /** A rig that accepts uploads of any size. */
     static std::unique_ptr<path_rig> make_rig()
@@ -168,6 +179,10 @@
                         rig->table.put(example_record(rig->adapter, "early", service,
                                                       server.address(), "v1", 4));
                     }
+                    if (route == path_to_server::kept_connection) {
+                        CPPUNIT_ASSERT_EQUAL(std::string("whole"),
+                                             body_in(rig->ask(request_text("GET", target, "0"))));
+                    }
                     raw_caller& caller = rig->add_caller();
                     caller.send(request_text("POST", target, "1", std::string(upload, 'x')));
                     const auto ended = [&caller] {
@@ -177,6 +192,8 @@
                     };
                     CPPUNIT_ASSERT(rig->run_until(ended));
                     CPPUNIT_ASSERT(server.answered > 0);
+                    CPPUNIT_ASSERT_EQUAL(route == path_to_server::kept_connection,
+                                         server.answered_on_kept_connection);
                     if (is_whole(caller.received)) {
                         taken += "[upload " + std::to_string(upload) + ", part " +
                                  std::to_string(part.size()) + ", " + std::to_string(pause_ms) +
@@ -199,6 +216,17 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), taken);
     }
 
+    /** The same on a connection that carried a request before. */
+    static void during_an_upload_on_a_kept_connection()
+    {
+        std::string taken;
+        for (const std::size_t part : part_sizes) {
+            taken += taken_on("/unsafe/x", "desk", "", std::string(part, 'y'),
+                              path_to_server::kept_connection);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), taken);
+    }
+
     /** Guards against a stream that looks complete after some of its events. */
     static void during_the_upload_of_a_stream()
     {
--- a/test/support/malformed_responses.h
+++ b/test/support/malformed_responses.h
@@ -78,6 +78,23 @@
           "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"}) {
         all.push_back({lines, "HTTP/1.1 200 OK", lines, chunks});
     }
+    for (const char* prefix : {" ", "\t", "\x01", "X ", "X\x01", "X-A: a\r\n "}) {
+        const std::string length = std::string(prefix) + "Content-Length: 3\r\n";
+        all.push_back({length, "HTTP/1.1 200 OK", length, "whole"});
+        const std::string sized = length + "Content-Length: 5\r\n";
+        all.push_back({sized, "HTTP/1.1 200 OK", sized, "whole"});
+        const std::string coding = std::string(prefix) + "Transfer-Encoding: chunked\r\n";
+        all.push_back({coding, "HTTP/1.1 200 OK", coding, chunks});
+        const std::string coded = coding + "Transfer-Encoding: chunked\r\n";
+        all.push_back({coded, "HTTP/1.1 200 OK", coded, chunks});
+    }
+    for (const char* name : {"Content-Length\t: 5\r\n", "Content-Length\x01: 5\r\n",
+                             "Content Length: 5\r\n", "Content\x01-Length: 5\r\n"})
+        all.push_back({name, "HTTP/1.1 200 OK", name, "whole"});
+    for (const char* name :
+         {"Transfer-Encoding\t: chunked\r\n", "Transfer-Encoding\x01: chunked\r\n",
+          "Transfer Encoding: chunked\r\n"})
+        all.push_back({name, "HTTP/1.1 200 OK", name, chunks});
     for (const char* body :
          {"x\r\nwhole\r\n0\r\n\r\n", "5\r\nwholeXY0\r\n\r\n", "5\r\nwhole0\r\n\r\n",
           "+5\r\nwhole\r\n0\r\n\r\n", "0x5\r\nwhole\r\n0\r\n\r\n", "-5\r\nwhole\r\n0\r\n\r\n",
