--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/{6,7,8,9,10}/case.cpp; do
+for source in review/{6,7,8,9,10}/script.cpp; do
     [ -e "$source" ] || continue
     number=$(basename "$(dirname "$source")")
     g++ -std=c++20 -O2 -Wall -Wextra -pthread -I review/kit-2 -o "target/review-2/case-$number" "$source" &
