Streams go on after the loss of all VMs, by what the store shows of the versions that served

Callers who named no stream got 503 for a minute after the start of any VM.

Cause: which version began a stream was known to the processes only, and a VM knew the versions of a service since its own start at the earliest. The store can show those before it.

Evidence: `resumption` lines with source=asked, known=0, waited_ms 0 to 60 on all tries; with one killed VM the same question is answered. Four new tests failed on the code before (all_routers_are_killed_with_one_version, all_routers_are_killed_after_the_store_forgot_its_history, router_that_is_cut_off_from_the_store, single_router_restarts) and pass now.

Change: a version log (version_log, version_log_client) holds the versions that each service has had within 60 s up to a revision. It begins at the creation of the first configuration, or at the log that one VM stores every 5 s, and applies the registry's changes since; a VM reads it after a request that needs it has come. A stream goes on if its service has had one version only. Dropped history, an older revision, a malformed log, an entry replaced before the log began and a silent store lead to a refusal, as before.

Why it works: the log holds more versions than served, never fewer; fuzz/version_log_misses_no_version compares it with the true past (5,100 draws passed). It found that a list older than a log's beginning made it forget a version, which is mended here.

--- a/src/protocol.cpp
+++ b/src/protocol.cpp
@@ -58,6 +58,8 @@
         return "servers";
     case object_kind::evacuations:
         return "evacuations";
+    case object_kind::version_logs:
+        return "version_logs";
     }
     return {};
 }
--- a/src/protocol.h
+++ b/src/protocol.h
@@ -184,6 +184,8 @@
     std::uint64_t revision = 0;
     std::string document;
     bool removed = false;
+    /** Store revision at which the object was created; 0: not stated. */
+    std::uint64_t created_revision = 0;
 };
 
 /** One page of a list response, or a batch of watch events. */
@@ -199,7 +201,8 @@
 enum class object_kind : std::uint8_t {
     configuration,
     servers,
-    evacuations, ///< data centres whose servers must get no requests
+    evacuations,  ///< data centres whose servers must get no requests
+    version_logs, ///< the router's own, see version_log.h
 };
 std::string_view name_of(object_kind kind);
 
@@ -212,6 +215,22 @@
 };
 std::string_view name_of(read_mode mode);
 
+/** An object that is to be created, or replaced if it is unchanged. */
+struct object_write {
+    object_kind kind{};
+    std::string name;
+    std::uint64_t expected_revision = 0; ///< of the object that is replaced; 0: there is none
+    std::string document;
+};
+
+/** A call to the store that writes. */
+struct store_write {
+    std::string method;
+    std::string path;
+    std::vector<header> headers;
+    std::string body;
+};
+
 /** Functions of a platform adapter. Decoders \throw peer_error naming the step and the fault. */
 struct protocol {
     request_metadata (*decode_request)(const http_head&) = nullptr;
@@ -234,6 +253,9 @@
     std::string (*list_path)(object_kind, std::string_view after, read_mode) = nullptr;
     std::string (*watch_path)(object_kind, std::uint64_t revision, milliseconds wait,
                               read_mode) = nullptr;
+    /** The call that writes the object. The store refuses it if the expected revision is not the
+     * object's, or if an object that is to be created exists. */
+    store_write (*encode_write)(const object_write&) = nullptr;
 };
 
 } // namespace worksshift
--- a/src/request_path.h
+++ b/src/request_path.h
@@ -111,6 +111,15 @@
         [](const service_id&) { return std::nullopt; };
     /** Whether this VM is the one that makes trial sends of the blocked content. */
     std::function<bool(content_key)> is_trial_vm = [](content_key) { return false; };
+    /** Finds out the only software version that servers of the service have had since a stream that
+     * is taken up by the request can have begun. The result is passed to `on_only_version`, later
+     * or at once. */
+    std::function<void(const service_id&, std::uint64_t request)> ask_only_version =
+        [this](const service_id&, std::uint64_t request) {
+            this->on_only_version(request, std::nullopt);
+        };
+    /** \p version: std::nullopt if there were several or it is not known. */
+    void on_only_version(std::uint64_t request, std::optional<software_version> version);
     [[nodiscard]] std::size_t active() const { return this->requests.size(); }
     /** Ends all requests, as the process is about to exit: callers learn that theirs was not run,
      * or that its response is lost. Returns their number. */
--- a/src/request_path_resume.cpp
+++ b/src/request_path_resume.cpp
@@ -44,6 +44,10 @@
     } else if (!named) {
         // Callers that do not name the stream can go on while there is nothing to confuse.
         const auto version = this->table.only_version(request.service, now());
+        if (!version) {
+            this->ask_only_version(request.service, request.id);
+            return false;
+        }
         this->require_version(request, version, "only_version");
     } else if (const auto known = this->origins.find(request.stream)) {
         this->require_version(request, known, "here");
@@ -67,11 +71,25 @@
         const auto found = this->requests.find(id);
         if (found == this->requests.end() || found->second->ended) continue;
         live_request& request = *found->second;
+        if (!version) {
+            // No VM that is left has passed it on, as after the loss of all VMs.
+            this->ask_only_version(request.service, id);
+            continue;
+        }
         this->require_version(request, version, "asked");
         if (!request.ended) this->dispatch(request);
     }
 }
 
+void request_path::on_only_version(std::uint64_t id, std::optional<software_version> version)
+{
+    const auto found = this->requests.find(id);
+    if (found == this->requests.end() || found->second->ended) return;
+    live_request& request = *found->second;
+    this->require_version(request, version, "version_log");
+    if (!request.ended) this->dispatch(request);
+}
+
 /** Binds a resumed request to the version, or refuses it if that is not known. */
 void request_path::require_version(live_request& request, std::optional<software_version> version,
                                    std::string_view source)
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -74,6 +74,7 @@
       configuration(base.get(), client, options.store, adapter, gossip),
       registry(base.get(), client, options.store, adapter, servers, gossip),
       evacuations(base.get(), client, options.store, adapter, servers, gossip),
+      version_history(client, options.store, adapter, servers, telemetry),
       ticker(base.get(), [this] { this->tick(); }),
       on_term(base.get(), SIGTERM, [this] { this->stop(); }),
       on_int(base.get(), SIGINT, [this] { this->stop(); }),
@@ -130,6 +131,7 @@
     this->heap.update(this->callers.memory_of_callers().held(), time);
     this->path.tick(time);
     this->follow_store(time);
+    this->update_version_log(time);
     this->start_serving();
     this->servers.sweep(time);
     this->servers.expire_reported_loads(time);
@@ -239,6 +241,11 @@
     this->path.is_trial_vm = [this](content_key content) {
         return is_first_in_fleet(this->members, static_cast<std::uint64_t>(content));
     };
+    this->path.ask_only_version = [this](const service_id& service, std::uint64_t request) {
+        this->version_history.ask(service, [this, request](std::optional<software_version> only) {
+            this->path.on_only_version(request, only);
+        });
+    };
     this->configuration.on_config.connect([this] {
         if (this->serving) this->path.set_config(this->configuration.config());
     });
@@ -351,6 +358,19 @@
     this->registry.tick(time, this->watch_role.mode());
 }
 
+/** One VM keeps the version log for all: the one of the highest rank among those that read the
+ * store linearizably. */
+void router::update_version_log(instant time)
+{
+    const fleet_table& fleet = this->gossip.fleet();
+    const bool writes =
+        this->reads_store && std::ranges::none_of(fleet.store_readers(time), [&](auto address) {
+            return fleet.precedes_self(address);
+        });
+    const std::uint64_t revision = this->registry.known() ? this->registry.revision() : 0;
+    this->version_history.tick(writes, revision, fleet.alive_count(time), time);
+}
+
 /** Updates the fleet's size and demand, and sums the requests of the other VMs at each server. */
 void router::update_peer_loads(instant time)
 {
@@ -544,7 +564,7 @@
         text << "worksshift_store_calls_total{mode=\"" << name_of(mode) << "\"} "
              << this->configuration.store_calls(mode) + this->registry.store_calls(mode) +
                     this->evacuations.store_calls(mode) +
-                    (mode == read_mode::stale ? this->path_checks : 0)
+                    (mode == read_mode::stale ? this->path_checks : this->version_history.calls())
              << '\n';
     }
     text << "worksshift_store_reachable " << (this->registry.store_reachable() ? 1 : 0) << '\n';
--- a/src/router.h
+++ b/src/router.h
@@ -26,6 +26,7 @@
 #include "server_table.h"
 #include "store_path_check.h"
 #include "suspension.h"
+#include "version_log_client.h"
 #include "watcher_selection.h"
 
 namespace worksshift {
@@ -54,6 +55,7 @@
     void apply_limits(const fleet_vm& from);
     void check_suspension();
     void follow_store(instant now);
+    void update_version_log(instant now);
     void update_peer_loads(instant now);
     void update_load_estimates(instant time);
     void update_server_assignments(instant now);
@@ -99,6 +101,7 @@
     config_follower configuration;
     registry_follower registry;
     evacuation_follower evacuations;
+    version_log_client version_history;
     std::unique_ptr<http_listener> peer_http;
     std::unique_ptr<http_listener> readiness_http;
     std::unique_ptr<http_listener> metrics_http;
--- a/test/fakes/fake_store.cpp
+++ b/test/fakes/fake_store.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <nlohmann/json.hpp>
+
 namespace fakes {
 
 using namespace worksshift;
@@ -11,11 +13,12 @@
 constexpr std::string_view prefix = "/api/objects/";
 constexpr duration tick_period = milliseconds(5);
 
-std::string object_text(const std::string& name, std::uint64_t revision, const std::string& spec)
+std::string object_text(const std::string& name, std::uint64_t revision, std::uint64_t created,
+                        const std::string& spec)
 {
     return R"({"metadata":{"name":")" + name + R"(","revision":)" + std::to_string(revision) +
-           R"(,"createRev":1,"finalizers":[],"deleting":false},"spec":)" + spec +
-           R"(,"status":null})";
+           R"(,"createRev":)" + std::to_string(created) +
+           R"(,"finalizers":[],"deleting":false},"spec":)" + spec + R"(,"status":null})";
 }
 
 std::string join(const std::vector<std::string>& parts)
@@ -45,19 +48,26 @@
 
 void fake_store::put(const std::string& kind, const std::string& name, const std::string& spec)
 {
-    ++this->revision;
-    const std::string object = object_text(name, this->revision, spec);
-    this->objects[kind][name] = object;
-    this->add_change(kind, object, false);
+    stored& object = this->objects[kind][name];
+    object.revision = ++this->revision;
+    if (object.created == 0) object.created = object.revision;
+    object.text = object_text(name, object.revision, object.created, spec);
+    this->add_change(kind, object.text, false);
 }
 
 void fake_store::remove(const std::string& kind, const std::string& name)
 {
     ++this->revision;
-    this->add_change(kind, this->objects[kind][name], true);
+    this->add_change(kind, this->objects[kind][name].text, true);
     this->objects[kind].erase(name);
 }
 
+bool fake_store::holds(const std::string& kind, const std::string& name) const
+{
+    const auto found = this->objects.find(kind);
+    return found != this->objects.end() && found->second.contains(name);
+}
+
 std::size_t fake_store::waiting_for(const std::string& kind) const
 {
     return static_cast<std::size_t>(std::ranges::count(this->waiting, kind, &waiter::kind));
@@ -87,7 +97,9 @@
     const std::string path = path_of(request);
     const std::string kind = path.substr(std::min(prefix.size(), path.size()));
     const std::string from = query_of(request, "watch");
-    ++(from.empty() ? this->lists : this->watches);
+    const evhttp_cmd_type method = evhttp_request_get_command(request);
+    const bool reads = method == EVHTTP_REQ_GET;
+    ++(!reads ? this->writes : from.empty() ? this->lists : this->watches);
     constexpr int busy = 503;
     constexpr int many = 429;
     switch (this->fault) {
@@ -102,7 +114,9 @@
     case store_fault::none:
         break;
     }
-    if (from.empty()) {
+    if (!reads) {
+        this->write(request, kind, method == EVHTTP_REQ_POST);
+    } else if (from.empty()) {
         this->list(request, kind);
     } else {
         this->watch(request, kind, std::stoull(from));
@@ -116,13 +130,36 @@
     const auto& all = this->objects[kind];
     auto next = all.upper_bound(after);
     for (; next != all.end() && items.size() < this->page_size; ++next)
-        items.push_back(next->second);
+        items.push_back(next->second.text);
     const std::string more = next == all.end() ? "false" : "true";
     reply_json(request, 200,
                R"({"items":[)" + join(items) + R"(],"truncated":)" + more + R"(,"asOf":)" +
                    std::to_string(this->revision) + "}");
 }
 
+/** \p path: the kind, and the name of an object that is replaced. */
+void fake_store::write(evhttp_request* request, const std::string& path, bool create)
+{
+    constexpr int not_found = 404;
+    constexpr int conflict = 409;
+    const auto body = nlohmann::json::parse(body_of(request));
+    const std::string name = body.at("metadata").at("name").get<std::string>();
+    const std::string kind = path.substr(0, path.find('/'));
+    const bool exists = this->holds(kind, name);
+    if (!this->accepts_writes || (!create && !exists)) {
+        reply_json(request, not_found, "{}");
+        return;
+    }
+    const std::uint64_t expected = body.at("metadata").value("revision", std::uint64_t{0});
+    const bool stale = exists && expected != 0 && expected != this->objects[kind][name].revision;
+    if ((create && exists) || stale) {
+        reply_json(request, conflict, this->objects[kind][name].text);
+        return;
+    }
+    this->put(kind, name, body.at("spec").dump());
+    reply_json(request, 200, this->objects[kind][name].text);
+}
+
 void fake_store::watch(evhttp_request* request, const std::string& kind, std::uint64_t from)
 {
     constexpr int gone = 410;
--- a/test/fakes/fake_store.h
+++ b/test/fakes/fake_store.h
@@ -31,6 +31,15 @@
     void remove(const std::string& kind, const std::string& name);
     /** Drops the history: watches from earlier revisions are answered with 410. */
     void forget_history() { this->history_from = this->revision; }
+    /** Drops the history of all but the newest changes, as `forget_history`. */
+    void forget_history_but(std::uint64_t changes)
+    {
+        this->history_from = this->revision - changes;
+    }
+    /** Whether an object exists. */
+    [[nodiscard]] bool holds(const std::string& kind, const std::string& name) const;
+    /** Revision of the newest change. */
+    [[nodiscard]] std::uint64_t newest_revision() const { return this->revision; }
     /** Drops the pending calls without a response, as when a connection fails silently. */
     void lose_waiting() { this->waiting.clear(); }
 
@@ -46,10 +55,17 @@
     /** Age of the state that stale watches return. */
     worksshift::duration stale_by{};
     std::size_t page_size = 500;
-    std::size_t lists = 0;   ///< calls that came
-    std::size_t watches = 0; ///< calls that came
+    std::size_t lists = 0;      ///< calls that came
+    std::size_t watches = 0;    ///< calls that came
+    std::size_t writes = 0;     ///< calls that came
+    bool accepts_writes = true; ///< otherwise they are answered with 404
 
 private:
+    struct stored {
+        std::uint64_t revision = 0;
+        std::uint64_t created = 0;
+        std::string text; ///< as it is sent
+    };
     struct change {
         std::uint64_t revision = 0;
         std::string kind;
@@ -66,13 +82,14 @@
 
     void take(evhttp_request* request);
     void list(evhttp_request* request, const std::string& kind);
+    void write(evhttp_request* request, const std::string& path, bool create);
     void watch(evhttp_request* request, const std::string& kind, std::uint64_t from);
     [[nodiscard]] std::uint64_t visible(bool stale, worksshift::instant now) const;
     bool answer(const waiter& item, worksshift::instant now);
     void answer_waiting();
     void add_change(const std::string& kind, const std::string& object, bool removed);
 
-    std::map<std::string, std::map<std::string, std::string>> objects; ///< by kind and name
+    std::map<std::string, std::map<std::string, stored>> objects; ///< by kind and name
     std::vector<change> history;
     std::list<waiter> waiting;
     std::uint64_t revision = 0;
--- a/test/support/store_fleet.cpp
+++ b/test/support/store_fleet.cpp
@@ -1,6 +1,7 @@
 #include "support/store_fleet.h"
 
 #include <algorithm>
+#include <stdexcept>
 
 #include "config_follower.h"
 #include "visitor.h"
@@ -227,8 +228,10 @@
         return item.servers;
     case object_kind::evacuations:
         return item.evacuations;
+    case object_kind::version_logs: // read only when a request needs it
+        break;
     }
-    return item.servers;
+    throw std::invalid_argument("no VM follows " + std::string(name_of(kind)));
 }
 
 void store_fleet::take_version(follower_vm& item, std::uint64_t version)
