A long rejection of a server that ran the request becomes a 502, as a short one does

Cause: a response is passed on once more than 64 KB are held back, before finish_answer can replace a status that means "not run" and that the server did not prove. Through a second VM the same, and the VM was believed.

Evidence: tests with 408, 429 and 503: bodies of three bytes give 502, bodies of 80 KB the server's status. long_rejection_without_proof_becomes_502, long_rejection_without_proof_through_another_vm and rejection_of_a_server_that_another_vm_passes_on failed before and pass now.

Change: a response with such a status is not passed on before its end; more than 64 KB of it close the attempt. Of another VM such a status counts only if the VM names no server that answered. Why it works: no path is left on which such a status of a server is passed on without its proof.

--- a/src/request_path_output.cpp
+++ b/src/request_path_output.cpp
@@ -152,12 +152,14 @@
     }
 }
 
-/** Whether the bytes of a response that is not an event stream are passed on to the caller. One
- * without a length or a declared event stream is not expected on a streaming route; it may be the
- * output of a faulty server, which has no end. */
+/** Whether the bytes of a response that is not an event stream are passed on to the caller. A
+ * status that means "not run" is not passed on before its end: if a server sent it without proof,
+ * the caller gets a 502. A response without a length or a declared event stream is not expected on
+ * a streaming route; it may be the output of a faulty server, which has no end. */
 bool request_path::may_be_forwarded(const live_request& request)
 {
     if (request.refused || request.cannot_resume) return false;
+    if (is_not_run_status(request.response_head.status)) return false;
     const bool unexpected = request.matched_route->kind == route_kind::event_stream &&
                             request.response_head.status == ok &&
                             request.response_head.find("content-length") == nullptr;
--- a/src/request_path_relay.cpp
+++ b/src/request_path_relay.cpp
@@ -184,7 +184,9 @@
     const bool responded = answered || request.relay_responded;
     this->release_relay(request, responded ? relay_result::served : relay_result::unreachable);
     const int status = request.response_head.status;
-    if (answered && !request.response_begun && is_not_run_status(status)) {
+    // A VM of an earlier release may pass on the status of a server that ran the request.
+    const bool of_the_vm = request.relay_server.empty();
+    if (answered && !request.response_begun && of_the_vm && is_not_run_status(status)) {
         this->pass_on_refusal(request);
         return;
     }
@@ -201,7 +203,7 @@
         this->dispatch(request);
         return;
     }
-    this->send_answer(request);
+    this->finish_answer(request);
 }
 
 /** Another VM, unlike a server, says "not run" only of a request that it sent to no server. An
--- a/test/error/invalid_server_responses.cpp
+++ b/test/error/invalid_server_responses.cpp
@@ -6,6 +6,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "support/path_rig.h"
+#include "support/vm_group.h"
 
 namespace {
 
@@ -29,6 +30,9 @@
     CPPUNIT_TEST(rejected_request_is_retried);
     CPPUNIT_TEST(rejection_by_all_servers_has_retry_after);
     CPPUNIT_TEST(rejection_without_proof_becomes_502);
+    CPPUNIT_TEST(long_rejection_without_proof_becomes_502);
+    CPPUNIT_TEST(long_rejection_without_proof_through_another_vm);
+    CPPUNIT_TEST(rejection_of_a_server_that_another_vm_passes_on);
     CPPUNIT_TEST(server_error_is_forwarded_unchanged);
     CPPUNIT_TEST(unreachable_server);
     CPPUNIT_TEST(request_to_silent_server_is_retried);
@@ -36,6 +40,12 @@
     CPPUNIT_TEST(expired_request_gets_504);
     CPPUNIT_TEST_SUITE_END();
 
+    /** Statuses that callers take for "not run"; 421 is not among them here, since a server proves
+     * with it that it did not run the request. */
+    static constexpr std::array<int, 3> not_run_statuses{408, 429, 503};
+    /** More than the path holds back of a response. */
+    static constexpr std::size_t large_body = max_buffered_response_bytes + 16'384;
+
     std::unique_ptr<path_rig> rig;
 
     static scripted_response good(const std::string& request)
@@ -262,6 +272,65 @@
         CPPUNIT_ASSERT_EQUAL(502, status_in(response));
     }
 
+    /** The same for a body that is too large to be held back until its end. */
+    void long_rejection_without_proof_becomes_502()
+    {
+        int status = 0;
+        this->rig->add_server("a", "desk", [&status](const std::string& request) {
+            return scripted_response{response_text(status, request, std::string(large_body, 'x')),
+                                     then::keep};
+        });
+        for (const int each : not_run_statuses) {
+            status = each;
+            const std::string response =
+                this->rig->ask(request_text("POST", "/unsafe/x", std::to_string(each), "{}"));
+            CPPUNIT_ASSERT_EQUAL(502, status_in(response));
+            CPPUNIT_ASSERT(header_in(response, "x-response-signature").empty());
+        }
+    }
+
+    /** The same for a request that is relayed to the VM which the server answers. */
+    static void long_rejection_without_proof_through_another_vm()
+    {
+        vm_group group(2);
+        const scripted_server& server =
+            group.add_server("a", "desk", [](const std::string& request) {
+                return scripted_response{response_text(503, request, std::string(large_body, 'x')),
+                                         then::keep};
+            });
+        group.cut_off_and_detect(0, cut_kind::refused);
+        raw_caller& caller = group.add_caller(0);
+        caller.send(request_text("POST", "/unsafe/x", "1", "{}"));
+        CPPUNIT_ASSERT(group.run_until(
+            [&caller] { return caller.closed || is_complete_response(caller.received); }));
+        CPPUNIT_ASSERT_EQUAL(502, status_in(caller.received));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.requests.size());
+    }
+
+    /** The same if a VM of an earlier release relays the request: it passes such responses on, with
+     * the name of the server. */
+    void rejection_of_a_server_that_another_vm_passes_on()
+    {
+        constexpr std::uint32_t loopback_host = 0x7f000001;
+        this->rig->add_lost_servers("desk");
+        server_connections links(this->rig->base.get(), this->rig->adapter);
+        for (const std::size_t size : {std::size_t{3}, large_body}) {
+            scripted_server other(this->rig->base.get(), [size](const std::string& request) {
+                return scripted_response{response_text(503, request, std::string(size, 'x'),
+                                                       "Worksshift-Relay-Server: a\r\n"),
+                                         then::keep};
+            });
+            this->rig->path->enable_relay(links, other.address().port);
+            this->rig->path->set_relay_vms({});
+            this->rig->path->set_relay_vms({{loopback_host, true, {}}});
+            const std::string response =
+                this->rig->ask(request_text("POST", "/unsafe/x", std::to_string(size), "{}"));
+            CPPUNIT_ASSERT_EQUAL(502, status_in(response));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other.requests.size());
+            links.close_all_idle();
+        }
+    }
+
     /** Guards against changing a server's own error response. */
     void server_error_is_forwarded_unchanged()
     {
