The store's revision orders the entries of a server, not the time at which it says it started

Cause: an entry with an earlier start than the known one counted as one of a former incarnation. A server that restarts after its clock was set back states an earlier start, so its entries and their removal were ignored.

Evidence: six tests of servers_that_restart, with a start 2.4 s before the former one, failed before and pass now.

Change: server_record holds the revision of the entry; an entry or removal of a lower one is ignored, and any other time of the start is a restart. Why it works: revisions come from one counter, and all views of the registry carry them.

Two tests changed: entry_of_the_previous_incarnation_is_ignored and removal_of_the_previous_incarnation_is_ignored stated no revision and so demanded the fault itself. They are now of entries with an older revision, each with a clock that went forward and one that was set back, and the opposite case has tests of its own.

--- a/src/protocol.h
+++ b/src/protocol.h
@@ -175,8 +175,10 @@
     /** Remaining time until the server is warm, measured when it wrote the entry. */
     milliseconds cold_remaining{};
     /** Unix time of the server's start in milliseconds; 0: not reported. A restarted server may
-     * keep its id, so this value distinguishes a process from its predecessor. */
+     * keep its id, so this value distinguishes a process from its predecessor. It does not order
+     * them, as the clock of the server's machine may be set back. */
     std::uint64_t started_at_ms = 0;
+    std::uint64_t revision = 0; ///< of the entry in the store
 };
 
 /** An object of the store: the store's own fields, and the document as raw text. */
--- a/src/server_registry.cpp
+++ b/src/server_registry.cpp
@@ -50,7 +50,7 @@
 {
     if (!object.removed) {
         this->put(object, logging::each, origin, now);
-    } else if (!this->is_of_former_incarnation(object)) {
+    } else if (!this->is_outdated(object)) {
         this->mark_missing(server_id{object.name}, origin, now);
     }
 }
@@ -88,11 +88,11 @@
     return servers;
 }
 
-/** Whether the removed entry was written by an earlier incarnation of the server. */
-bool server_registry::is_of_former_incarnation(const stored_object& removal) const
+/** Whether the removed entry is older than the known one of the server. */
+bool server_registry::is_outdated(const stored_object& removal) const
 {
     try {
-        return this->table.is_of_former_incarnation(this->adapter.decode_server(removal));
+        return this->table.is_outdated(this->adapter.decode_server(removal));
     } catch (const error&) {
         // The entry cannot be decoded, so it is treated as a removal, whoever wrote it.
         return false;
@@ -104,11 +104,11 @@
 {
     try {
         const server_record record = this->adapter.decode_server(object);
-        if (this->table.is_of_former_incarnation(record)) return false;
+        if (this->table.is_outdated(record)) return false;
         this->missing.erase(record.id);
         const server_entry* known = this->table.find(record.id);
         const bool restarted =
-            known != nullptr && known->record.started_at_ms < record.started_at_ms;
+            known != nullptr && known->record.started_at_ms != record.started_at_ms;
         const std::uint64_t before = restarted ? known->record.started_at_ms : 0;
         if (!this->table.put(record, now)) return false;
         if (restarted) {
--- a/src/server_registry.h
+++ b/src/server_registry.h
@@ -117,7 +117,7 @@
     void record_unreadable(const stored_object& object, std::string_view reason,
                            const update_origin& origin, instant now);
     void log_unreadable(instant now);
-    [[nodiscard]] bool is_of_former_incarnation(const stored_object& removal) const;
+    [[nodiscard]] bool is_outdated(const stored_object& removal) const;
     void remove(const server_id& id, duration retained_for);
     [[nodiscard]] std::set<service_id> services_with_mass_expiry() const;
 
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -284,18 +284,18 @@
     return first;
 }
 
-bool server_table::is_of_former_incarnation(const server_record& record) const
+bool server_table::is_outdated(const server_record& record) const
 {
     const auto found = this->table.find(record.id);
-    return found != this->table.end() && record.started_at_ms < found->second.record.started_at_ms;
+    return found != this->table.end() && record.revision < found->second.record.revision;
 }
 
 bool server_table::put(const server_record& record, instant now)
 {
-    if (this->is_of_former_incarnation(record)) return false;
+    if (this->is_outdated(record)) return false;
     const auto known = this->table.find(record.id);
     const bool known_before = known != this->table.end();
-    if (known_before && record.started_at_ms > known->second.record.started_at_ms) {
+    if (known_before && record.started_at_ms != known->second.record.started_at_ms) {
         this->retire(known->second);
     }
     const auto [found, added] = this->table.try_emplace(record.id);
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -110,12 +110,11 @@
 
     /** Adds or updates the entry of a server. A server that restarted under its id is a new
      * incarnation with a new row; the row of the previous incarnation is kept until the attempts
-     * sent to it have ended. A record of an incarnation older than the known one is ignored.
-     * Returns true if the server is new or listed again, or its service or draining state
-     * changed. */
+     * sent to it have ended. A record of an older entry than the known one is ignored. Returns true
+     * if the server is new or listed again, or its service or draining state changed. */
     bool put(const server_record& record, instant now = {});
-    /** Whether the record describes an older incarnation of the server than the known one. */
-    [[nodiscard]] bool is_of_former_incarnation(const server_record& record) const;
+    /** Whether the record is that of an older entry of the server than the known one. */
+    [[nodiscard]] bool is_outdated(const server_record& record) const;
     /** The registry no longer lists the server. Returns whether it was listed before. */
     bool remove(const server_id& id);
     /** Another server answered at the address of this one. */
--- a/test/error/servers_that_restart.cpp
+++ b/test/error/servers_that_restart.cpp
@@ -1,7 +1,8 @@
 /** \file
  * Guards against state that survives a server's restart under the same id: load, health and
- * connections of the previous incarnation must not apply to the new one, and registry entries of
- * the previous incarnation must be ignored.
+ * connections of the previous incarnation must not apply to the new one, and older registry entries
+ * must be ignored. Which entry is newer is decided by the store's revision: the clock of a server's
+ * machine may be set back between two starts.
  */
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -28,11 +29,12 @@
 }
 
 stored_object entry(const std::string& name, std::uint64_t started_at_ms,
-                    const std::string& state = "ready",
+                    std::uint64_t revision = 1, const std::string& state = "ready",
                     const link_address& address = {"127.0.0.1", 1})
 {
     stored_object object;
     object.name = name;
+    object.revision = revision;
     object.document = document(address, started_at_ms, state);
     return object;
 }
@@ -42,14 +44,20 @@
     CPPUNIT_TEST(load_and_health_are_reset);
     CPPUNIT_TEST(attempts_are_counted_for_their_incarnation);
     CPPUNIT_TEST(loads_reported_of_the_previous_incarnation_are_ignored);
-    CPPUNIT_TEST(entry_of_the_previous_incarnation_is_ignored);
-    CPPUNIT_TEST(removal_of_the_previous_incarnation_is_ignored);
+    CPPUNIT_TEST(older_entry_of_the_previous_incarnation_is_ignored);
+    CPPUNIT_TEST(older_removal_of_the_previous_incarnation_is_ignored);
+    CPPUNIT_TEST(clock_set_back_before_the_restart);
+    CPPUNIT_TEST(drained_after_its_clock_was_set_back);
+    CPPUNIT_TEST(removed_after_its_clock_was_set_back);
+    CPPUNIT_TEST(requests_after_its_clock_was_set_back);
     CPPUNIT_TEST(request_of_the_previous_incarnation_does_not_count_as_running);
     CPPUNIT_TEST(connections_of_the_previous_incarnation_are_closed);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t first_start_ms = 1'790'000'000'000;
     static constexpr std::uint64_t second_start_ms = first_start_ms + 60'000;
+    /** Time of a restart on a machine whose clock was set back. */
+    static constexpr std::uint64_t set_back_ms = first_start_ms - 2'400;
 
     protocol adapter = platform_protocol();
     std::unique_ptr<server_table> table;
@@ -59,9 +67,12 @@
 
     server_entry& row() { return *this->table->find(this->id); }
 
-    void restart_server()
+    static constexpr std::uint64_t restart_revision = 5;
+
+    /** \p started_at_ms: by the clock of the server's machine. */
+    void restart_server(std::uint64_t started_at_ms = second_start_ms)
     {
-        this->registry->apply_change(entry("a", second_start_ms), from_watch,
+        this->registry->apply_change(entry("a", started_at_ms, restart_revision), from_watch,
                                      this->start + seconds(60));
     }
 
@@ -76,7 +87,12 @@
     }
 
     /** The new incarnation starts without load, failures or delays. */
-    void load_and_health_are_reset()
+    void load_and_health_are_reset() { this->check_reset(second_start_ms); }
+
+    /** The same if it seems to have started before the previous incarnation. */
+    void clock_set_back_before_the_restart() { this->check_reset(set_back_ms); }
+
+    void check_reset(std::uint64_t started_at_ms)
     {
         const instant before = this->start + seconds(59);
         this->row().in_flight = 3;
@@ -84,7 +100,7 @@
         this->row().health.on_unreachable(before + milliseconds(900));
         this->row().first_delay.add(seconds(2), before);
         this->row().replaced = true;
-        this->restart_server();
+        this->restart_server(started_at_ms);
         const instant now = this->start + seconds(60);
         this->table->expire_reported_loads(now);
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, this->row().load());
@@ -120,24 +136,83 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, this->row().load());
     }
 
-    /** A late registry change of the previous incarnation is ignored. */
-    void entry_of_the_previous_incarnation_is_ignored()
+    /** A registry change of the previous incarnation that arrives late is ignored, whatever the
+     * clock of the new one says. */
+    void older_entry_of_the_previous_incarnation_is_ignored()
     {
-        this->restart_server();
-        this->registry->apply_change(entry("a", first_start_ms, "draining"), from_watch,
-                                     this->start + seconds(61));
-        CPPUNIT_ASSERT(this->row().accepts_requests());
+        for (const std::uint64_t restarted_at_ms : {second_start_ms, set_back_ms}) {
+            this->setUp();
+            this->restart_server(restarted_at_ms);
+            this->registry->apply_change(
+                entry("a", first_start_ms, restart_revision - 1, "draining"), from_watch,
+                this->start + seconds(61));
+            CPPUNIT_ASSERT(this->row().accepts_requests());
+        }
     }
 
-    /** A late removal of the previous incarnation is ignored. */
-    void removal_of_the_previous_incarnation_is_ignored()
+    /** A removal of the previous incarnation that arrives late is ignored. */
+    void older_removal_of_the_previous_incarnation_is_ignored()
     {
-        this->restart_server();
-        stored_object removal = entry("a", first_start_ms);
+        for (const std::uint64_t restarted_at_ms : {second_start_ms, set_back_ms}) {
+            this->setUp();
+            this->restart_server(restarted_at_ms);
+            stored_object removal = entry("a", first_start_ms, restart_revision - 1);
+            removal.removed = true;
+            this->registry->apply_change(removal, from_watch, this->start + seconds(61));
+            this->registry->sweep(this->start + seconds(70), this->start);
+            CPPUNIT_ASSERT(this->table->find(this->id) != nullptr &&
+                           this->row().accepts_requests());
+        }
+    }
+
+    /** Guards against requests to a server that reports that it leaves, and that seems to have
+     * started before its previous incarnation. */
+    void drained_after_its_clock_was_set_back()
+    {
+        this->restart_server(set_back_ms);
+        this->registry->apply_change(entry("a", set_back_ms, restart_revision + 1, "draining"),
+                                     from_watch, this->start + seconds(61));
+        CPPUNIT_ASSERT(!this->row().accepts_requests());
+    }
+
+    /** The same for a server whose entry is removed. */
+    void removed_after_its_clock_was_set_back()
+    {
+        this->restart_server(set_back_ms);
+        stored_object removal = entry("a", set_back_ms, restart_revision + 1);
         removal.removed = true;
         this->registry->apply_change(removal, from_watch, this->start + seconds(61));
         this->registry->sweep(this->start + seconds(70), this->start);
-        CPPUNIT_ASSERT(this->table->find(this->id) != nullptr && this->row().accepts_requests());
+        const server_entry* row = this->table->find(this->id);
+        CPPUNIT_ASSERT(row == nullptr || !row->accepts_requests());
+    }
+
+    /** The same with a router as a process, which follows the store. */
+    static void requests_after_its_clock_was_set_back()
+    {
+        router_fleet fleet(1);
+        fleet.set_config(example_config(1));
+        const auto answer = [](const std::string& request) {
+            return scripted_response{response_text(200, request, "x"), then::keep};
+        };
+        const scripted_server& server = fleet.add_server("a", "desk", answer);
+        fleet.add_server("b", "desk", answer);
+        const auto put = [&](std::uint64_t started_at_ms, const std::string& state) {
+            fleet.store->put("servers", "a",
+                             document(server.address(), started_at_ms, state, "desk"));
+        };
+        put(first_start_ms, "ready");
+        fleet.start_all();
+        CPPUNIT_ASSERT(fleet.wait_until_all_ready());
+        fleet.run_until([] { return false; }, seconds(1));
+        put(set_back_ms, "ready");
+        put(set_back_ms, "draining");
+        fleet.run_until([] { return false; }, milliseconds(500));
+        for (int i = 0; i < 10; ++i) {
+            CPPUNIT_ASSERT_EQUAL(
+                200, status_in(fleet.ask(0, request_text("GET", "/safe/x", std::to_string(i)))));
+        }
+        CPPUNIT_ASSERT(server.requests.empty());
     }
 
     /** Answers of the new incarnation to other requests must not count as a sign that a request
@@ -171,8 +246,8 @@
         const std::string receiving_server =
             std::ranges::any_of(engines[0]->requests, is_pending_request) ? "a" : "b";
         const link_address address = engines[receiving_server == "a" ? 0 : 1]->address();
-        rig.table.put(
-            rig.adapter.decode_server(entry(receiving_server, second_start_ms, "ready", address)));
+        rig.table.put(rig.adapter.decode_server(
+            entry(receiving_server, second_start_ms, 1, "ready", address)));
         const instant end =
             std::chrono::steady_clock::now() + min_silence_timeout + milliseconds(300);
         for (unsigned next = 0; std::chrono::steady_clock::now() < end; ++next) {
