The version log asks for the registry's revision when a read ends, not at the last tick

Cause: the revision with which a read was compared was up to 25 ms old, while the servers in the table were current. If the registry learned of a removal in between, the version of the removed server stood neither in the table nor in the changes that were read, and another one looked like the only one.

Evidence: found by reading. registry_advances_during_the_read failed before and passes now.

Change: the client gets the revision from the registry at the time of use. A read is complete only if it is as new as the servers that it is completed with.

--- a/src/router.cpp
+++ b/src/router.cpp
@@ -74,7 +74,9 @@
       configuration(base.get(), client, options.store, adapter, gossip),
       registry(base.get(), client, options.store, adapter, servers, gossip),
       evacuations(base.get(), client, options.store, adapter, servers, gossip),
-      version_history(client, options.store, adapter, servers, telemetry),
+      version_history(
+          client, options.store, adapter, servers,
+          [this] { return this->registry.known() ? this->registry.revision() : 0; }, telemetry),
       ticker(base.get(), [this] { this->tick(); }),
       on_term(base.get(), SIGTERM, [this] { this->stop(); }),
       on_int(base.get(), SIGINT, [this] { this->stop(); }),
@@ -367,8 +369,7 @@
         this->reads_store && std::ranges::none_of(fleet.store_readers(time), [&](auto address) {
             return fleet.precedes_self(address);
         });
-    const std::uint64_t revision = this->registry.known() ? this->registry.revision() : 0;
-    this->version_history.tick(writes, revision, fleet.alive_count(time), time);
+    this->version_history.tick(writes, fleet.alive_count(time), time);
 }
 
 /** Updates the fleet's size and demand, and sums the requests of the other VMs at each server. */
--- a/src/version_log_client.cpp
+++ b/src/version_log_client.cpp
@@ -27,8 +27,9 @@
 
 version_log_client::version_log_client(http_client& caller, const link_address& store,
                                        const protocol& adapter, const server_table& servers,
-                                       metrics& telemetry)
-    : caller(caller), store(store), adapter(adapter), servers(servers), telemetry(telemetry)
+                                       revision_source registry_revision, metrics& telemetry)
+    : caller(caller), store(store), adapter(adapter), servers(servers),
+      registry_revision(std::move(registry_revision)), telemetry(telemetry)
 {
 }
 
@@ -37,11 +38,9 @@
     this->waiting.push_back({std::move(service), std::move(handler)});
 }
 
-void version_log_client::tick(bool writes, std::uint64_t servers_revision, std::size_t vms,
-                              instant now)
+void version_log_client::tick(bool writes, std::size_t vms, instant now)
 {
-    this->registry_revision = servers_revision;
-    if (this->reading != nullptr || servers_revision == 0) return;
+    if (this->reading != nullptr || this->registry_revision() == 0) return;
     const bool for_writing = writes && now - this->write_begun_at >= write_period;
     const duration interval = std::max<duration>(
         min_read_interval, read_interval_per_vm * static_cast<std::int64_t>(vms));
@@ -125,7 +124,7 @@
     }
     // The servers in the table may be those of an older revision.
     this->log = std::make_unique<version_log>(
-        version_log::since_first_use(std::min(first->created_revision, this->registry_revision)));
+        version_log::since_first_use(std::min(first->created_revision, this->registry_revision())));
     this->read_changes();
 }
 
@@ -158,7 +157,7 @@
     }
     this->log->apply(this->decode_changes(page), page.revision);
     this->reading->changes += page.objects.size();
-    const bool complete = page.objects.empty() && this->registry_revision <= page.revision;
+    const bool complete = page.objects.empty() && this->registry_revision() <= page.revision;
     if (complete) {
         this->complete_read(now);
     } else {
@@ -171,10 +170,10 @@
     this->log.reset();
     if (!this->reading->from_store) {
         this->read_record();
-    } else if (this->reading->for_writing && !std::exchange(this->reading->anew, true)) {
-        log_event(log_level::warn, "version_log_begun", {{"revision", this->registry_revision}});
+    } else if (this->reading->for_writing && !std::exchange(this->reading->begun_anew, true)) {
+        log_event(log_level::warn, "version_log_begun", {{"revision", this->registry_revision()}});
         this->log =
-            std::make_unique<version_log>(version_log::since_revision(this->registry_revision));
+            std::make_unique<version_log>(version_log::since_revision(this->registry_revision()));
         this->read_changes();
     } else {
         this->fail_read("the store's history does not reach back to a version log");
@@ -183,7 +182,7 @@
 
 void version_log_client::complete_read(instant now)
 {
-    this->log->complete(this->listed_versions(), this->registry_revision, now);
+    this->log->complete(this->listed_versions(), this->registry_revision(), now);
     const version_log_read read = std::move(*this->reading);
     this->reading.reset();
     log_event(log_level::info, "version_log_read",
@@ -205,7 +204,7 @@
     log_event(log_level::warn, "version_log_not_read",
               {{"reason", reason},
                {"revision", this->log == nullptr ? 0 : this->log->revision()},
-               {"registry_revision", this->registry_revision},
+               {"registry_revision", this->registry_revision()},
                {"questions", read.questions.size()}});
     this->telemetry.count("worksshift_version_log_reads_total{complete=\"0\"}");
     for (const only_version_question& asked : read.questions)
--- a/src/version_log_client.h
+++ b/src/version_log_client.h
@@ -38,7 +38,7 @@
     std::vector<only_version_question> questions; ///< asked before it began
     bool for_writing = false;
     bool from_store = false; ///< the log in use was begun by what the store holds
-    bool anew = false;       ///< the log in use began at the registry's revision
+    bool begun_anew = false; ///< the log in use began at the registry's revision
     int calls_for_changes = 0;
     std::size_t changes = 0;
 };
@@ -57,14 +57,18 @@
     /** Calls for changes in one read. Each but the last returned some. */
     static constexpr int max_calls_for_changes = 16;
 
+    /** Returns the revision of the registry that \p servers of the constructor holds at the time of
+     * the call; 0: no complete list is known yet. */
+    using revision_source = std::function<std::uint64_t()>;
+
     version_log_client(http_client& caller, const link_address& store, const protocol& adapter,
-                       const server_table& servers, metrics& telemetry);
+                       const server_table& servers, revision_source registry_revision,
+                       metrics& telemetry);
 
     /** Asks for the only version of the service. The handler is called later. */
     void ask(service_id service, only_version_handler handler);
-    /** \p writes: this VM is to keep the stored log up to date. \p registry_revision: of the
-     * servers in the table; 0: not known yet. \p vms: size of the fleet. */
-    void tick(bool writes, std::uint64_t registry_revision, std::size_t vms, instant now);
+    /** \p writes: this VM is to keep the stored log up to date. \p vms: size of the fleet. */
+    void tick(bool writes, std::size_t vms, instant now);
     /** Number of calls made to the store, none of them a stale read. */
     [[nodiscard]] std::uint64_t calls() const { return this->calls_made; }
 
@@ -90,6 +94,7 @@
     link_address store;
     const protocol& adapter;
     const server_table& servers;
+    revision_source registry_revision;
     metrics& telemetry;
 
     std::unique_ptr<version_log> log; ///< nullptr: none is known
@@ -97,7 +102,6 @@
     std::uint64_t record_revision = 0;
     std::vector<only_version_question> waiting; ///< for the next read
     std::unique_ptr<version_log_read> reading;  ///< nullptr: no read is in progress
-    std::uint64_t registry_revision = 0;
     instant read_begun_at{};
     instant write_begun_at{};
     std::uint64_t calls_made = 0;
--- a/test/error/version_log_is_read_or_refused.cpp
+++ b/test/error/version_log_is_read_or_refused.cpp
@@ -31,6 +31,8 @@
     std::vector<std::string> watched_from;
     std::vector<std::string> written; ///< method, path and body
     bool silent = false;
+    /** Called before changes are returned. */
+    std::function<void()> before_changes = [] {};
 
     void answer(evhttp_request* request)
     {
@@ -45,6 +47,7 @@
             fakes::reply_json(request, 200, this->configurations);
         } else if (path.ends_with("/servers")) {
             this->watched_from.push_back(fakes::query_of(request, "watch"));
+            this->before_changes();
             fakes::reply_json(request, this->changes_status, this->changes.front());
             if (this->changes.size() > 1) this->changes.pop_front();
         } else {
@@ -83,6 +86,7 @@
     CPPUNIT_TEST(malformed_log_is_replaced);
     CPPUNIT_TEST(change_without_a_readable_name);
     CPPUNIT_TEST(registry_is_newer_than_the_read);
+    CPPUNIT_TEST(registry_advances_during_the_read);
     CPPUNIT_TEST(question_during_a_read);
     CPPUNIT_TEST(created_if_there_is_none);
     CPPUNIT_TEST(written_if_nobody_else_has);
@@ -133,14 +137,14 @@
         this->telemetry = std::make_unique<metrics>();
         this->servers = std::make_unique<server_table>(data_centre_id{"dc"}, 1);
         this->servers->put(example_record(this->adapter, "a", "llm", {"127.0.0.1", 1}, "v1", 4));
-        this->client = std::make_unique<version_log_client>(*this->caller, at, this->adapter,
-                                                            *this->servers, *this->telemetry);
+        this->client = std::make_unique<version_log_client>(
+            *this->caller, at, this->adapter, *this->servers,
+            [this] { return this->registry_revision; }, *this->telemetry);
         this->writes = false;
         this->registry_revision = 9;
         this->ticker = std::make_unique<timer>(this->base.get(), [this] {
             this->caller->sweep();
-            this->client->tick(this->writes, this->registry_revision, 1,
-                               std::chrono::steady_clock::now());
+            this->client->tick(this->writes, 1, std::chrono::steady_clock::now());
         });
         this->ticker->start_every(milliseconds(5));
     }
@@ -216,10 +220,9 @@
         CPPUNIT_ASSERT(!this->ask());
     }
 
-    /** Guards against a version whose removal the registry has seen and the log has not. */
-    void registry_is_newer_than_the_read()
+    /** The first call shows no change, the next one that a server of v2 was removed. */
+    void remove_second_version_after_the_first_call()
     {
-        this->registry_revision = 12;
         this->store->changes = {
             no_changes(9),
             R"({"events":[{"removed":true,"object":{"metadata":{"name":"b","revision":12,)"
@@ -227,6 +230,21 @@
             R"("version":"v2","slots":4,"coldRemainingMs":0,"sequence":1,"state":"ready"}}}],)"
             R"("asOf":12})",
             no_changes(12)};
+    }
+
+    /** Guards against a version whose removal the registry has seen and the log has not. */
+    void registry_is_newer_than_the_read()
+    {
+        this->remove_second_version_after_the_first_call();
+        this->registry_revision = 12;
+        CPPUNIT_ASSERT(!this->ask());
+    }
+
+    /** The same if the registry learns of the removal while the store is being read. */
+    void registry_advances_during_the_read()
+    {
+        this->remove_second_version_after_the_first_call();
+        this->store->before_changes = [this] { this->registry_revision = 12; };
         CPPUNIT_ASSERT(!this->ask());
     }
 
