A stream is refused at once while this VM knows of several versions, without a read of the store

Cause: since the version log, each stream taken up within a minute after a release, whose origin nobody knows, read the store, though the VM's own table showed two versions and the answer was certain.

Change: the table tells whether it has seen several versions within the time for which streams can be taken up; such a stream is refused with source=several_versions.

--- a/src/request_path.h
+++ b/src/request_path.h
@@ -215,6 +215,7 @@
 
     // Streams that are taken up again, in request_path_resume.cpp.
     [[nodiscard]] bool resolve_version(live_request& request);
+    void find_only_version(live_request& request);
     void on_stream_version(stream_key stream, std::optional<software_version> version);
     void require_version(live_request& request, std::optional<software_version> version,
                          std::string_view source);
--- a/src/request_path_resume.cpp
+++ b/src/request_path_resume.cpp
@@ -45,7 +45,7 @@
         // Callers that do not name the stream can go on while there is nothing to confuse.
         const auto version = this->table.only_version(request.service, now());
         if (!version) {
-            this->ask_only_version(request.service, request.id);
+            this->find_only_version(request);
             return false;
         }
         this->require_version(request, version, "only_version");
@@ -73,7 +73,7 @@
         live_request& request = *found->second;
         if (!version) {
             // No VM that is left has passed it on, as after the loss of all VMs.
-            this->ask_only_version(request.service, id);
+            this->find_only_version(request);
             continue;
         }
         this->require_version(request, version, "asked");
@@ -81,6 +81,18 @@
     }
 }
 
+/** Asks for the only version of the request's service, unless this VM knows that there were
+ * several.
+ */
+void request_path::find_only_version(live_request& request)
+{
+    if (this->table.has_had_several_versions(request.service, now())) {
+        this->require_version(request, std::nullopt, "several_versions");
+    } else {
+        this->ask_only_version(request.service, request.id);
+    }
+}
+
 void request_path::on_only_version(std::uint64_t id, std::optional<software_version> version)
 {
     const auto found = this->requests.find(id);
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -422,6 +422,13 @@
     return std::ranges::any_of(group.rows, differs) ? std::nullopt : only;
 }
 
+bool server_table::has_had_several_versions(const service_id& service, instant now) const
+{
+    const auto found = this->services.find(service);
+    return found != this->services.end() &&
+           found->second.versions.changed_since(now - stream_origins::lifetime);
+}
+
 service_load server_table::load_of(const service_id& service) const
 {
     const auto found = this->services.find(service);
--- a/src/server_table.h
+++ b/src/server_table.h
@@ -205,6 +205,9 @@
      * for so long. */
     [[nodiscard]] std::optional<software_version> only_version(const service_id& service,
                                                                instant now) const;
+    /** Whether servers of the service are known to have had several versions of the software within
+     * the time for which streams can be taken up. */
+    [[nodiscard]] bool has_had_several_versions(const service_id& service, instant now) const;
     /** Whether a server that seems healthy accepts the request now. */
     [[nodiscard]] bool has_healthy_candidate(const placement_request& wanted, instant now) const;
     /** This VM sends a request to the server. */
--- a/src/version_history.h
+++ b/src/version_history.h
@@ -23,10 +23,17 @@
     void observe(software_version version, instant known_since, instant now)
     {
         if (this->latest && version == *this->latest) return;
+        if (this->latest) this->changed_at = now;
         this->since = this->latest ? now : known_since;
         this->latest = version;
     }
 
+    /** Whether servers are known to have had different versions since \p earliest. */
+    [[nodiscard]] bool changed_since(instant earliest) const
+    {
+        return this->changed_at && *this->changed_at >= earliest;
+    }
+
     /** The version, if no server is known to have had another one since \p earliest, and nothing
      * earlier is unknown; std::nullopt otherwise. */
     [[nodiscard]] std::optional<software_version> only_since(instant earliest) const
@@ -36,7 +43,8 @@
 
 private:
     std::optional<software_version> latest;
-    instant since{}; ///< `latest` has been the only version
+    instant since{};                   ///< `latest` has been the only version
+    std::optional<instant> changed_at; ///< when a version other than the one before was seen
 };
 
 } // namespace worksshift
--- a/test/error/streams_of_two_software_versions.cpp
+++ b/test/error/streams_of_two_software_versions.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(caller_that_names_no_stream);
     CPPUNIT_TEST(unnamed_stream_at_a_vm_that_has_just_started);
     CPPUNIT_TEST(unnamed_stream_after_the_last_server_of_its_version);
+    CPPUNIT_TEST(nobody_is_asked_while_two_versions_serve);
     CPPUNIT_TEST(unnamed_stream_of_a_new_fleet);
     CPPUNIT_TEST(unnamed_stream_of_a_service_that_came_later);
     CPPUNIT_TEST(named_stream_after_all_vms_restarted);
@@ -136,6 +137,29 @@
         this->rig->path->set_config(this->rig->adapter.decode_config(example_config(1)));
     }
 
+    /** Guards against a read of the store for each stream that cannot go on anyway. */
+    void nobody_is_asked_while_two_versions_serve()
+    {
+        std::size_t questions = 0;
+        this->rig->path->ask_only_version = [&](const service_id&, std::uint64_t request) {
+            ++questions;
+            this->rig->path->on_only_version(request, std::nullopt);
+        };
+        this->rig->add_server("a", "llm", completes_streams("v1"), "v1");
+        this->rig->table.sweep(std::chrono::steady_clock::now());
+        CPPUNIT_ASSERT(is_refused(this->resume_unnamed("1")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, questions);
+        this->rig->add_server("b", "llm", completes_streams("v2"), "v2");
+        this->rig->table.sweep(std::chrono::steady_clock::now());
+        this->rig->table.remove({"a"});
+        CPPUNIT_ASSERT(is_refused(this->resume_unnamed("2")));
+        raw_caller& named = this->rig->add_caller();
+        named.send(resumption("3", "never-seen"));
+        CPPUNIT_ASSERT(this->rig->run_until([&] { return has_ended(&named); }));
+        CPPUNIT_ASSERT(is_refused(named));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, questions);
+    }
+
     /** Guards against joining events of two versions when a server breaks off. */
     void resumed_within_one_response()
     {
