--- a/src/version_log.cpp
+++ b/src/version_log.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <vector>
 
 #include "errors.h"
 #include "json_reader.h"
@@ -67,16 +68,24 @@
         this->known.try_emplace(server);
     // An older list does not show that a version has no servers any more.
     const bool list_is_current = listed_revision >= this->newest_entry;
-    for (auto& [server, seen] : this->known) {
-        const bool seen_now = seen.changed || listed.contains(server);
-        if (seen.present || seen_now) seen.last_seen = now;
-        seen.present = seen_now || (seen.present && !list_is_current);
-        seen.changed = false;
-    }
+    for (auto& [server, seen] : this->known)
+        seen.update(listed.contains(server), list_is_current, now);
     std::erase_if(this->known,
                   [now](const auto& entry) { return now - entry.second.last_seen > lifetime; });
 }
 
+void version_log::presence::update(bool listed, bool list_is_current, instant now)
+{
+    const bool seen_now = this->changed || listed;
+    if (this->present || seen_now) this->last_seen = now;
+    if (seen_now) {
+        this->present = true;
+    } else if (list_is_current) {
+        this->present = false;
+    }
+    this->changed = false;
+}
+
 bool version_log::covers_lifetime(instant now) const
 {
     const bool completed = !this->began_at && !this->has_gap;
@@ -87,16 +96,16 @@
                                                           instant now) const
 {
     if (!this->covers_lifetime(now)) return std::nullopt;
-    std::optional<software_version> only;
+    std::vector<software_version> versions;
     for (const auto& [server, seen] : this->known) {
-        if (server.service != service) continue;
-        if (only || server.version == software_version::unknown) return std::nullopt;
-        only = server.version;
+        if (server.service == service) versions.push_back(server.version);
     }
-    return only;
+    if (versions.size() != 1) return std::nullopt;
+    return versions.front() == software_version::unknown ? std::nullopt
+                                                         : std::optional(versions.front());
 }
 
-std::string version_log::encode(instant now) const
+nlohmann::json version_log::encode_versions(instant now) const
 {
     nlohmann::json versions = nlohmann::json::array();
     for (const auto& [server, seen] : this->known) {
@@ -105,11 +114,16 @@
                             {"present", seen.present},
                             {"seen_ms", age_in_ms(seen.last_seen, now)}});
     }
+    return versions;
+}
+
+std::string version_log::encode(instant now) const
+{
     nlohmann::json log{{"format", format},
                        {"revision", this->newest},
                        {"entry_revision", this->newest_entry},
                        {"since_first_use", !this->known_since},
-                       {"versions", std::move(versions)}};
+                       {"versions", this->encode_versions(now)}};
     if (this->known_since) log["known_ms"] = age_in_ms(*this->known_since, now);
     return log.dump();
 }
--- a/src/version_log.h
+++ b/src/version_log.h
@@ -19,6 +19,8 @@
 #include <string>
 #include <string_view>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "software_version.h"
 #include "stream_origins.h"
 
@@ -80,8 +82,14 @@
         instant last_seen{};
         bool present = false; ///< a server may have the version at revision `newest`
         bool changed = false; ///< named by a change since the last call of `complete`
+
+        /** \p listed: a server in the list has the version. \p list_is_current: the list holds all
+         * entries that were created or replaced up to revision `newest`. */
+        void update(bool listed, bool list_is_current, instant now);
     };
 
+    [[nodiscard]] nlohmann::json encode_versions(instant now) const;
+
     std::uint64_t newest = 0;
     /** Revision at which an entry was last created or replaced, at the latest. */
     std::uint64_t newest_entry = 0;
