Simpler: one search of idle connections, no second time of a version's change, no unused members of the fake store

The search for a connection that may carry a request stood twice in its loop; the time of a version's change is `since` itself, so a flag suffices; two members of the fake store were used by nobody. Behaviour is the same.

--- a/src/request_path_resume.cpp
+++ b/src/request_path_resume.cpp
@@ -81,9 +81,7 @@
     }
 }
 
-/** Asks for the only version of the request's service, unless this VM knows that there were
- * several.
- */
+/** Asks for the only version of the service, unless this VM knows that there were several. */
 void request_path::find_only_version(live_request& request)
 {
     if (this->table.has_had_several_versions(request.service, now())) {
--- a/src/server_connections.cpp
+++ b/src/server_connections.cpp
@@ -110,9 +110,9 @@
         return request.repeatable || !connection->answered_without_id;
     };
     // The one that was used last is the least likely to have been closed by the server.
-    for (auto newest = std::ranges::find_if(connections | std::views::reverse, may_carry);
-         newest != connections.rend();
-         newest = std::ranges::find_if(connections | std::views::reverse, may_carry)) {
+    while (true) {
+        const auto newest = std::ranges::find_if(connections | std::views::reverse, may_carry);
+        if (newest == connections.rend()) return nullptr;
         const connection_ptr connection = *newest;
         const duration age = time - connection->since;
         if (!request.repeatable && age > max_reuse_age) return nullptr;
@@ -122,7 +122,6 @@
         if (usable) return connection;
         this->drop(*connection);
     }
-    return nullptr;
 }
 
 void server_connections::check_process(std::uint32_t check, const server_id& server,
--- a/src/version_history.h
+++ b/src/version_history.h
@@ -23,7 +23,7 @@
     void observe(software_version version, instant known_since, instant now)
     {
         if (this->latest && version == *this->latest) return;
-        if (this->latest) this->changed_at = now;
+        this->changed = this->latest.has_value();
         this->since = this->latest ? now : known_since;
         this->latest = version;
     }
@@ -31,7 +31,7 @@
     /** Whether servers are known to have had different versions since \p earliest. */
     [[nodiscard]] bool changed_since(instant earliest) const
     {
-        return this->changed_at && *this->changed_at >= earliest;
+        return this->changed && this->since >= earliest;
     }
 
     /** The version, if no server is known to have had another one since \p earliest, and nothing
@@ -43,8 +43,8 @@
 
 private:
     std::optional<software_version> latest;
-    instant since{};                   ///< `latest` has been the only version
-    std::optional<instant> changed_at; ///< when a version other than the one before was seen
+    instant since{};      ///< `latest` has been the only version
+    bool changed = false; ///< at `since`, from another version
 };
 
 } // namespace worksshift
--- a/test/fakes/fake_store.cpp
+++ b/test/fakes/fake_store.cpp
@@ -99,7 +99,7 @@
     const std::string from = query_of(request, "watch");
     const evhttp_cmd_type method = evhttp_request_get_command(request);
     const bool reads = method == EVHTTP_REQ_GET;
-    ++(!reads ? this->writes : from.empty() ? this->lists : this->watches);
+    if (reads) ++(from.empty() ? this->lists : this->watches);
     constexpr int busy = 503;
     constexpr int many = 429;
     switch (this->fault) {
--- a/test/fakes/fake_store.h
+++ b/test/fakes/fake_store.h
@@ -38,8 +38,6 @@
     }
     /** Whether an object exists. */
     [[nodiscard]] bool holds(const std::string& kind, const std::string& name) const;
-    /** Revision of the newest change. */
-    [[nodiscard]] std::uint64_t newest_revision() const { return this->revision; }
     /** Drops the pending calls without a response, as when a connection fails silently. */
     void lose_waiting() { this->waiting.clear(); }
 
@@ -57,7 +55,6 @@
     std::size_t page_size = 500;
     std::size_t lists = 0;      ///< calls that came
     std::size_t watches = 0;    ///< calls that came
-    std::size_t writes = 0;     ///< calls that came
     bool accepts_writes = true; ///< otherwise they are answered with 404
 
 private:
